--- a/bench/bursts.py
+++ b/bench/bursts.py
@@ -16,7 +16,7 @@
 
 from dewspindle._internal.models.resources import Amounts, make_amounts
 from dewspindle._internal.scheduling.planner import Planner
-from dewspindle._internal.schema import cell_pb2
+from dewspindle._internal.schema import cell_pb2, resources_pb2
 from dewspindle._internal.utils.budgets import RetryBudget
 
 from .figures import compute_percentile, show
@@ -171,7 +171,7 @@
             team=f"team-{self._rng.randrange(4)}",
             kind=kind.kind,
             priority=kind.priority,
-            resources=cell_pb2.Resources(processors=kind.processors, memory_mb=kind.memory_mb),
+            resources=resources_pb2.Resources(processors=kind.processors, memory_mb=kind.memory_mb),
             expected_run_s=declared,
             max_attempts=3,
             repeatable=True,
--- a/bench/scheduling_state.py
+++ b/bench/scheduling_state.py
@@ -5,7 +5,7 @@
 from dewspindle._internal.cell import appliers  # noqa: F401
 from dewspindle._internal.cell.state import CellState
 from dewspindle._internal.scheduling.planner import Planner
-from dewspindle._internal.schema import cell_pb2, peers_pb2
+from dewspindle._internal.schema import cell_pb2, peers_pb2, resources_pb2
 from dewspindle._internal.utils.budgets import RetryBudget
 from dewspindle._internal.utils.timers import SystemTimerService
 
@@ -42,7 +42,7 @@
                 zone=f"z{rack % zones}",
                 rack=f"r{rack}",
                 session="s",
-                capacity=cell_pb2.Resources(
+                capacity=resources_pb2.Resources(
                     processors=WORKER_PROCESSORS, memory_mb=WORKER_MEMORY_MB
                 ),
             )
@@ -58,7 +58,7 @@
             team=f"team-{self.random.randrange(teams)}",
             kind=kind,
             priority=self.random.choice(("normal", "normal", "low")),
-            resources=cell_pb2.Resources(
+            resources=resources_pb2.Resources(
                 processors=sizes.choice((250, 500, 1000, 2000)),
                 memory_mb=sizes.choice((256, 512, 1024, 4096)),
             ),
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -9,7 +9,7 @@
 from dewspindle._internal.models.resources import NOTHING, Amounts, make_amounts
 from dewspindle._internal.models.tasks import FINAL_RECORD_STATES, HOLDING_STATES
 from dewspindle._internal.scheduling.explain import explain_waiting
-from dewspindle._internal.schema import cell_pb2
+from dewspindle._internal.schema import cell_pb2, resources_pb2
 
 ACTIONS = ("submit", "place", "report", "fail", "lose", "see", "shrink", "cancel", "change")
 
@@ -194,7 +194,7 @@
             zone=f"z{number % zones}",
             rack=f"r{number % zones}-{number % 2}",
             session="s",
-            capacity=cell_pb2.Resources(processors=8000, memory_mb=16_384),
+            capacity=resources_pb2.Resources(processors=8000, memory_mb=16_384),
         )
         context.bench.apply(cell_pb2.Command(see_worker=cell_pb2.SeeWorker(worker=worker)))
 
@@ -205,7 +205,7 @@
         team="t",
         kind=kind,
         priority="normal",
-        resources=cell_pb2.Resources(processors=processors, memory_mb=1024),
+        resources=resources_pb2.Resources(processors=processors, memory_mb=1024),
         max_attempts=3,
         repeatable=True,
         spread="zone",
--- a/features/steps/task_steps.py
+++ b/features/steps/task_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from dewspindle._internal.cell.listeners import StateListener
 from dewspindle._internal.models.resources import Amounts
 from dewspindle._internal.models.tasks import FINAL_RECORD_STATES
 from dewspindle._internal.schema import cell_pb2
@@ -98,7 +99,7 @@
         hit_worker(context, fault, worker)
 
 
-class CommitHook:
+class CommitHook(StateListener):
     """Strikes when the first task is placed, before its order is given."""
 
     def __init__(self, context, fault, victim):
@@ -110,14 +111,6 @@
         workers = {w.name: w for w in self.context.fleet.workers}
         hit(self.context, self.fault, self.victim, workers[task.worker])
 
-    def on_worker(self, account):
-        pass
-
-    on_record = on_config = on_worker
-
-    def on_restore(self):
-        pass
-
 
 @when("{fault} hits the {victim} {step}")
 def when_strikes_task(context, fault, victim, step):
--- /dev/null
+++ b/src/dewspindle/_internal/cell/job_changes.py
@@ -0,0 +1,107 @@
+"""Changes of jobs of several steps, of the workers that are called, and of the queues."""
+
+from ..models.ids import JobId
+from ..schema.cell_pb2 import Command, Result
+from ..schema.jobs_pb2 import JOB_CANCELLED, JOB_FAILED, JOB_OPEN, JOB_SUCCEEDED, JobState
+from ..utils.refusals import Refusal
+from .jobs import StoredJob
+from .registry import applies
+from .results import make_refusal
+from .state import CellState
+
+
+@applies("submit_jobs")
+def apply_submit_jobs(state: CellState, command: Command) -> Result:
+    """Accept jobs; one that is known already stays as it is."""
+    store = state.job_store
+    for message in command.submit_jobs.jobs:
+        if message.id in store.jobs:
+            continue
+        message.accepted_ms = state.at_ms
+        message.accepted_term = state.term
+        job = store.add(message)
+        for listener in state.listeners:
+            listener.on_job(job)
+    return Result(status=200)
+
+
+@applies("cancel_jobs")
+def apply_cancel_jobs(state: CellState, command: Command) -> Result:
+    """Cancel jobs; one that has ended stays as it is."""
+    known = 0
+    for job_id in command.cancel_jobs.ids:
+        job = state.job_store.jobs.get(JobId(job_id))
+        if job is None:
+            continue
+        known += 1
+        if job.is_open:
+            _end_job(state, job, JOB_CANCELLED)
+    if not known:
+        return make_refusal(Refusal.NOT_FOUND, "none of these jobs is known")
+    return Result(status=200, count=known)
+
+
+@applies("report_ends")
+def apply_report_ends(state: CellState, command: Command) -> Result:
+    """Take note of ends of tasks; one that was reported before changes nothing."""
+    count = 0
+    for end in command.report_ends.ends:
+        job = state.job_store.jobs.get(JobId(end.job))
+        if job is None or not 0 <= end.position < job.layout.size:
+            continue
+        if not job.take_end(end):
+            continue
+        count += 1
+        for listener in state.listeners:
+            listener.on_task_end(job, end)
+        if not job.is_open:
+            continue
+        if job.is_all_done:
+            _end_job(state, job, JOB_SUCCEEDED)
+        elif job.has_exhausted_attempts(end.position):
+            _end_job(state, job, JOB_FAILED)
+    return Result(status=200, count=count)
+
+
+def _end_job(state: CellState, job: StoredJob, outcome: JobState.ValueType) -> None:
+    job.message.state = outcome
+    job.message.ended_ms = state.at_ms
+    for listener in state.listeners:
+        listener.on_job(job)
+
+
+@applies("enlist_workers")
+def apply_enlist_workers(state: CellState, command: Command) -> Result:
+    """Take up workers that may be called from now on."""
+    for worker in command.enlist_workers.workers:
+        state.job_store.workers[worker.id] = worker
+    return Result(status=200)
+
+
+@applies("discharge_workers")
+def apply_discharge_workers(state: CellState, command: Command) -> Result:
+    """Forget workers that run nothing any more."""
+    for worker_id in command.discharge_workers.ids:
+        state.job_store.workers.pop(worker_id, None)
+    return Result(status=200)
+
+
+@applies("queue_table")
+def apply_queue_table(state: CellState, command: Command) -> Result:
+    """Put a table of queues in force where its version is the highest so far."""
+    if command.queue_table.version > state.job_store.queue_table.version:
+        state.job_store.queue_table = command.queue_table
+        for listener in state.listeners:
+            listener.on_queues()
+    return Result(status=200)
+
+
+@applies("expire_jobs")
+def apply_expire_jobs(state: CellState, command: Command) -> Result:
+    """Forget jobs that ended longer ago than they have to be known."""
+    before = state.at_ms - command.expire_jobs.keep_ms
+    jobs = state.job_store.jobs
+    for job_id, job in list(jobs.items()):
+        if job.message.state != JOB_OPEN and job.message.ended_ms < before:
+            del jobs[job_id]
+    return Result(status=200)
--- /dev/null
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -0,0 +1,126 @@
+"""Jobs of several steps as the replicated state holds them."""
+
+from collections.abc import Iterable
+
+from ..models.ids import JobId
+from ..models.jobs import JobLayout
+from ..schema import jobs_pb2
+from ..schema.jobs_pb2 import JOB_OPEN
+
+
+class StoredJob:
+    """An accepted job, with what its tasks have reached."""
+
+    __slots__ = ("_layout", "_left", "_message")
+
+    def __init__(self, message: jobs_pb2.Job) -> None:
+        self._message = message
+        self._layout = JobLayout(message.spec)
+        units = [unit.first_position for unit in self._layout.list_units()]
+        self._left = sum(not self.is_done(position) for position in units)
+
+    @property
+    def id(self) -> JobId:
+        """Return the id."""
+        return JobId(self._message.id)
+
+    @property
+    def message(self) -> jobs_pb2.Job:
+        """Return the message that is kept."""
+        return self._message
+
+    @property
+    def layout(self) -> JobLayout:
+        """Return how the tasks are numbered."""
+        return self._layout
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the job has not ended."""
+        return self._message.state == JOB_OPEN
+
+    @property
+    def is_all_done(self) -> bool:
+        """Tell whether every task has ended well."""
+        return self._left == 0
+
+    def is_done(self, position: int) -> bool:
+        """Tell whether the task at a position, or its gang, has ended well."""
+        unit = self._layout.get_unit_position(position)
+        return unit in self._message.tasks and self._message.tasks[unit].done
+
+    def get_progress(self, position: int) -> jobs_pb2.TaskProgress | None:
+        """Return what is known of a task that ended at least once."""
+        return self._message.tasks.get(position)
+
+    def take_end(self, end: jobs_pb2.TaskEnd) -> bool:
+        """Take note of an end; return whether it was new."""
+        progress = self._message.tasks[end.position]
+        if end.attempt <= progress.last_ended_attempt:
+            return False
+        progress.last_ended_attempt = end.attempt
+        unit = self._message.tasks[self._layout.get_unit_position(end.position)]
+        if end.checkpoint:
+            unit.checkpoint = end.checkpoint
+        is_lasting = self._message.spec.steps[self._layout.locate(end.position)[1]].long_running
+        if end.kind == jobs_pb2.END_DONE and not unit.done and not is_lasting:
+            unit.done = True
+            self._left -= 1
+        elif end.kind == jobs_pb2.END_FAILED and end.attempt > unit.last_failed_attempt:
+            # The members of a gang share the attempt, so their ends count once.
+            unit.last_failed_attempt = end.attempt
+            unit.failures += 1
+        return True
+
+    def has_exhausted_attempts(self, position: int) -> bool:
+        """Tell whether a task, or its gang, has failed as often as its queue allows."""
+        _, step, _ = self._layout.locate(position)
+        if self._message.spec.steps[step].long_running:
+            return False
+        unit = self.get_progress(self._layout.get_unit_position(position))
+        limit = self._message.queue.max_attempts
+        return unit is not None and not unit.done and 0 < limit <= unit.failures
+
+
+class JobStore:
+    """All jobs that are known, and the workers and queues that they run by."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, StoredJob] = {}
+        self.workers: dict[str, jobs_pb2.CalledWorker] = {}
+        self.queue_table = jobs_pb2.QueueTable()
+
+    def add(self, message: jobs_pb2.Job) -> StoredJob:
+        """Add a job."""
+        job = StoredJob(message)
+        self.jobs[job.id] = job
+        return job
+
+    def find_queue(self, host: str, path: str) -> jobs_pb2.Queue | None:
+        """Return the queue with the longest prefix of a path, or None."""
+        found = [
+            queue
+            for queue in self.queue_table.queues
+            if queue.host == host and path.startswith(queue.path_prefix)
+        ]
+        return max(found, key=lambda queue: len(queue.path_prefix), default=None)
+
+    def get_queue_in_force(self, job: StoredJob) -> jobs_pb2.Queue:
+        """Return a job's queue as configured now, or as it was when the job was accepted."""
+        accepted = job.message.queue
+        for queue in self.queue_table.queues:
+            if queue.host == accepted.host and queue.path_prefix == accepted.path_prefix:
+                return queue
+        return accepted
+
+    def restore(
+        self,
+        jobs: Iterable[jobs_pb2.Job],
+        workers: Iterable[jobs_pb2.CalledWorker],
+        queue_table: jobs_pb2.QueueTable,
+    ) -> None:
+        """Take over what a snapshot holds."""
+        for message in jobs:
+            self.add(message)
+        self.workers = {worker.id: worker for worker in workers}
+        self.queue_table = queue_table
--- a/src/dewspindle/_internal/cell/state.py
+++ b/src/dewspindle/_internal/cell/state.py
@@ -6,6 +6,7 @@
 from ..models.resources import NOTHING, Amounts, make_amounts
 from ..models.tasks import FINAL_RECORD_STATES, HOLDING_STATES
 from ..schema import cell_pb2, peers_pb2
+from .jobs import JobStore
 from .ledger import Ledger
 from .listeners import StateListener
 from .outcomes import Outcomes
@@ -29,6 +30,7 @@
         self.records: dict[str, cell_pb2.Record] = {}
         self.open_records: dict[str, cell_pb2.Record] = {}
         self.ledger = Ledger()
+        self.job_store = JobStore()
         self.config: dict[str, cell_pb2.ConfigEntry] = {}
         self.config_versions: list[cell_pb2.ConfigEntry] = []
         self.outcomes = Outcomes()
@@ -100,6 +102,9 @@
             claims=self.claims.values(),
             largest_fleet=self.largest_fleet.to_message(),
             worker_shapes=[shape.to_message() for shape in self.worker_shapes],
+            jobs=[job.message for job in self.job_store.jobs.values()],
+            called_workers=self.job_store.workers.values(),
+            queue_table=self.job_store.queue_table,
         )
         return snapshot.SerializeToString()
 
@@ -119,6 +124,7 @@
         self.config = {entry.name: entry for entry in snapshot.config}
         self.config_versions = list(snapshot.config_versions)
         self.outcomes.restore(snapshot.outcomes)
+        self.job_store.restore(snapshot.jobs, snapshot.called_workers, snapshot.queue_table)
         self.learnt = {(item.team, item.name): item for item in snapshot.learnt}
         self.claims = {claim.key: claim for claim in snapshot.claims}
         self.largest_fleet = make_amounts(snapshot.largest_fleet)
--- a/src/dewspindle/_internal/duties.py
+++ b/src/dewspindle/_internal/duties.py
@@ -2,11 +2,13 @@
 
 import anyio
 
+from .cell.listeners import StateListener
 from .cell.view import CellView
 from .exceptions import NotLeaderError
 from .models.ids import WorkerId
 from .network import methods
 from .network.leader_client import LeaderClient
+from .replication.lead_watch import run_while_leading, wait_for_end
 from .replication.leadership import Leadership
 from .replication.members import MemberKeeper
 from .replication.replica import Replica
@@ -17,11 +19,11 @@
 from .scheduling.scheduler import Scheduler
 from .schema import cell_pb2, peers_pb2, settings_pb2
 from .utils.metrics import Metrics
-from .utils.timers import TimerService, wait_for_event
+from .utils.timers import TimerService
 from .workers.links import WorkerLinks
 
 
-class TaskListener:
+class TaskListener(StateListener):
     """Wakes the held polls of workers whose tasks changed."""
 
     def __init__(self, links: WorkerLinks) -> None:
@@ -32,18 +34,6 @@
         if task.worker:
             self._links.wake_worker(WorkerId(task.worker))
 
-    def on_worker(self, account: object) -> None:
-        """Do nothing."""
-
-    def on_record(self, record: cell_pb2.Record) -> None:
-        """Do nothing."""
-
-    def on_config(self, name: str) -> None:
-        """Do nothing."""
-
-    def on_restore(self) -> None:
-        """Do nothing."""
-
 
 class LeaderDuties:
     """Starts the leader's parts with each term that is led, and ends them with it."""
@@ -83,20 +73,8 @@
         leader.register_local(methods.CHANGE_MEMBERS, self._members.handle_change)
 
     async def run(self) -> None:
-        """Wait for the lead again and again, until cancelled."""
-        while True:
-            leadership = self._replica.leadership
-            if leadership is None or not leadership.holds_lease:
-                await self._wait_for_change()
-                continue
-            await self._lead(leadership)
-
-    async def _wait_for_change(self) -> None:
-        await wait_for_event(
-            self._timers,
-            event=self._replica.context.signal.event,
-            seconds=self._settings.heartbeat_interval_ms / 1000,
-        )
+        """Take up the lead again and again, until cancelled."""
+        await run_while_leading(self._replica, self._lead)
 
     async def _lead(self, leadership: Leadership) -> None:
         self._links = WorkerLinks(
@@ -131,8 +109,7 @@
                 group.start_soon(housekeeping.run)
                 group.start_soon(self._links.watch_leases)
                 group.start_soon(self._members.run)
-                while self._replica.leadership is leadership and leadership.is_leading:
-                    await self._replica.context.signal.event.wait()
+                await wait_for_end(self._replica, leadership)
                 group.cancel_scope.cancel()
         finally:
             self._view.state.unsubscribe(listener)
--- /dev/null
+++ b/src/dewspindle/_internal/job_instances.py
@@ -0,0 +1,283 @@
+"""The two kinds of instances of a cell that runs jobs: replicas, and entries for callers."""
+
+import random
+from typing import Protocol
+
+import anyio
+
+from .cell import appliers  # noqa: F401  # Registers the commands.
+from .cell.view import CellView
+from .http.server import HttpServer
+from .jobs.dispatcher import DispatchLimits
+from .jobs.duties import JobDuties
+from .jobs.gateway import AdvisorBusyError, AdvisorGateway, WorkerGateway, WorkerUnreachableError
+from .jobs.relay import JobRelay
+from .network import methods
+from .network.leader_client import LeaderClient
+from .network.leader_tracker import LeaderTracker
+from .network.peer_client import PeerClient
+from .network.peer_server import PeerServer
+from .replication.address_book import AddressBook
+from .replication.formation import Formation
+from .replication.replica import Replica, load_context
+from .replication.transport import PeerUnreachableError
+from .schema import peers_pb2, settings_pb2
+from .utils.logs import get_logger
+from .utils.metrics import Metrics
+from .utils.timers import TimerService
+
+LEADER_ATTEMPT_S = 1.0  # For one request to the leader, before it is looked for again.
+
+logger = get_logger(__name__)
+
+
+class JobInstance(Protocol):
+    """What the program runs and stops."""
+
+    def begin_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+
+    async def run(self) -> None:
+        """Run until a graceful shutdown has ended."""
+
+
+class ReplicaInstance:
+    """A replica of the cell: it takes announcements and configuration, and may lead."""
+
+    def __init__(
+        self,
+        settings: settings_pb2.Settings,
+        *,
+        gateway: WorkerGateway,
+        advisor: AdvisorGateway | None,
+        limits: DispatchLimits,
+        timers: TimerService,
+        metrics: Metrics,
+        seed: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._advisor = advisor
+        self._view = CellView(timers=timers, fence_after_s=settings.fence_after_ms / 1000)
+        self._peer_client = PeerClient(settings)
+        self._peer_server = PeerServer(settings)
+        self._book = AddressBook(settings)
+        self._leader = LeaderClient(
+            own_address=settings.peer_address,
+            view=self._view,
+            caller=self._peer_client,
+            timers=timers,
+            metrics=metrics,
+            attempt_timeout_s=LEADER_ATTEMPT_S,
+        )
+        context = load_context(
+            settings=settings,
+            timers=timers,
+            transport=self._peer_client,
+            view=self._view,
+            seed=seed,
+        )
+        self._replica = Replica(context)
+        self._formation = Formation(context, book=self._book)
+        self._duties = JobDuties(
+            settings=settings,
+            replica=self._replica,
+            view=self._view,
+            gateway=gateway,
+            advise=self._call_advisor,
+            list_helpers=self._list_helpers,
+            limits=limits,
+            timers=timers,
+            metrics=metrics,
+        )
+        self._shutdown = anyio.Event()
+        self._servers: list[HttpServer] = []
+        self._register()
+
+    @property
+    def leader(self) -> LeaderClient:
+        """Return the client of whichever instance leads."""
+        return self._leader
+
+    @property
+    def view(self) -> CellView:
+        """Return the copy of the cell state."""
+        return self._view
+
+    @property
+    def book(self) -> AddressBook:
+        """Return the known addresses of replicas."""
+        return self._book
+
+    def add_server(self, server: HttpServer) -> None:
+        """Serve an application beside the replica."""
+        self._servers.append(server)
+
+    def _register(self) -> None:
+        handlers = self._replica.handlers
+        self._peer_server.register(methods.VOTE, handlers.handle_vote)
+        self._peer_server.register(methods.APPEND, handlers.handle_append)
+        self._peer_server.register(methods.SNAPSHOT, handlers.handle_snapshot)
+        self._peer_server.register(methods.TRANSFER, handlers.handle_transfer)
+        self._peer_server.register(methods.HELLO, self._answer_hello)
+        self._peer_server.register(methods.FORM, self._formation.handle_form)
+        self._peer_server.register(methods.ADVISE, self._answer_advise)
+        self._duties.register(self._leader, self._peer_server)
+
+    async def _answer_hello(self, request: peers_pb2.HelloRequest) -> peers_pb2.HelloAnswer:
+        answer = await self._formation.handle_hello(request)
+        answer.leads = self._replica.holds_lease and self._duties.dispatcher is not None
+        return answer
+
+    async def _answer_advise(self, request: peers_pb2.AdviseRequest) -> peers_pb2.AdviseAnswer:
+        """Ask the advisor from this instance, for the leader."""
+        if self._advisor is None:
+            raise PeerUnreachableError("no advisor is set")
+        try:
+            advice = await self._advisor.advise(
+                request.job,
+                request.occurrence,
+                request.step,
+                list(request.workers),
+                timeout_s=request.timeout_ms / 1000,
+            )
+        except AdvisorBusyError:
+            return peers_pb2.AdviseAnswer(busy=True)
+        answer = peers_pb2.AdviseAnswer(validity_ms=int(advice.validity_s * 1000))
+        for worker, ticket in advice.tickets.items():
+            answer.approvals.add(worker=worker, ticket=ticket)
+        return answer
+
+    async def _call_advisor(
+        self, helper: str, request: peers_pb2.AdviseRequest
+    ) -> peers_pb2.AdviseAnswer:
+        if helper == self._settings.peer_address:
+            try:
+                return await self._answer_advise(request)
+            except WorkerUnreachableError as error:
+                raise PeerUnreachableError(str(error)) from None
+        return await self._peer_client.call(
+            helper, methods.ADVISE, request, timeout_s=request.timeout_ms / 1000
+        )
+
+    def _list_helpers(self) -> list[str]:
+        """Return the instances that may ask the advisor, the leader itself last."""
+        leadership = self._replica.leadership
+        if leadership is None:
+            return []
+        now = self._timers.now()
+        alive_s = self._settings.election_timeout_ms / 1000
+        others = [
+            link.peer.address
+            for link in leadership.links.values()
+            if now - link.confirmed_at < alive_s
+        ]
+        return [self._settings.peer_address, *others]
+
+    def begin_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self._shutdown.set()
+
+    async def run(self) -> None:
+        """Run until a graceful shutdown has ended; raise where the instance cannot go on."""
+        await self._peer_server.start()
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._run_replica)
+                group.start_soon(self._duties.run)
+                for server in self._servers:
+                    group.start_soon(server.run)
+                await self._shutdown.wait()
+                await self._replica.hand_over()
+                await stop_servers(self._servers)
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._peer_server.stop()
+                await self._peer_client.close()
+                self._replica.close()
+
+    async def _run_replica(self) -> None:
+        await self._formation.run()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._formation.watch_membership)
+            group.start_soon(self._replica.run)
+
+
+class EntryInstance:
+    """An instance without state that relays callers' requests to the leader."""
+
+    def __init__(
+        self,
+        settings: settings_pb2.Settings,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        seed: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._timers = timers
+        self._peer_client = PeerClient(settings)
+        self._book = AddressBook(settings)
+        self._tracker = LeaderTracker(
+            settings=settings, book=self._book, caller=self._peer_client, timers=timers, seed=seed
+        )
+        leader = LeaderClient(
+            own_address="",
+            view=self._tracker,
+            caller=self._peer_client,
+            timers=timers,
+            metrics=metrics,
+            attempt_timeout_s=LEADER_ATTEMPT_S,
+        )
+        self._relay = JobRelay(leader, timers=timers)
+        self._shutdown = anyio.Event()
+        self._servers: list[HttpServer] = []
+
+    @property
+    def relay(self) -> JobRelay:
+        """Return the way to the leader."""
+        return self._relay
+
+    @property
+    def book(self) -> AddressBook:
+        """Return the known addresses of replicas."""
+        return self._book
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new connections may be sent here."""
+        return self._tracker.is_connected and not self._shutdown.is_set()
+
+    def add_server(self, server: HttpServer) -> None:
+        """Serve an application."""
+        self._servers.append(server)
+
+    def begin_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        self._shutdown.set()
+
+    async def run(self) -> None:
+        """Run until a graceful shutdown has ended."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._tracker.run)
+                group.start_soon(self._relay.run)
+                for server in self._servers:
+                    group.start_soon(server.run)
+                await self._shutdown.wait()
+                # Callers keep coming until the balancer has seen that this instance is not ready.
+                await self._timers.sleep(self._settings.ready_delay_ms / 1000)
+                await stop_servers(self._servers)
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._peer_client.close()
+
+
+async def stop_servers(servers: list[HttpServer]) -> None:
+    """Stop accepting, and return once the open requests are answered."""
+    for server in servers:
+        server.stop()
+    for server in servers:
+        await server.stopped.wait()
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of several steps, run on workers that the leader calls."""
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -0,0 +1,175 @@
+"""Asking the advisor which workers may run a step, from several instances at once."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+from anyio.abc import TaskGroup
+
+from ..exceptions import DewspindleError
+from ..models.ids import JobId
+from ..replication.transport import PeerUnreachableError
+from ..schema import jobs_pb2, peers_pb2
+from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
+from ..utils.refusals import RetryReason
+from ..utils.timers import TimerService
+
+StepKey = tuple[JobId, int, int]
+AdviceCall = Callable[[str, peers_pb2.AdviseRequest], Awaitable[peers_pb2.AdviseAnswer]]
+
+TICKET_MARGIN_S = 0.15  # A start takes this long at most to reach a worker on a calm network.
+TIMEOUT_FACTOR = 2.0  # Times the expected duration of a call, beside the slack below.
+TIMEOUT_SLACK_S = 1.0
+RETRY_PAUSE_S = 0.25
+LONG_CALL_S = 0.15  # Calls above this leave one instance free for shorter ones.
+MAX_WORKERS = 100  # Workers that one call may name.
+
+logger = get_logger(__name__)
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """What the advisor said of a step; its decision on a worker does not change."""
+
+    tickets: dict[str, str] = field(default_factory=dict)
+    expires_at: dict[str, float] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    is_pending: bool = False
+    retry_at: float = float("-inf")
+
+    def has_ticket(self, worker_id: str, now: float) -> bool:
+        """Tell whether a start on a worker may still carry its ticket."""
+        return self.expires_at.get(worker_id, 0.0) > now + TICKET_MARGIN_S
+
+    def drop_ticket(self, worker_id: str) -> None:
+        """Forget a ticket that a worker rejected."""
+        self.expires_at.pop(worker_id, None)
+
+
+@dataclass(slots=True)
+class AdviceRequest:
+    """A question that waits for an instance to ask it."""
+
+    key: StepKey
+    workers: list[str]
+    expected_s: float
+    rank: tuple[float, ...]
+
+
+def estimate_call_s(advisor: jobs_pb2.Advisor, count: int) -> float:
+    """Return how long the advisor takes over a number of workers."""
+    return (advisor.decision_ms + advisor.per_worker_ms * count) / 1000
+
+
+class AdviceDesk:
+    """Keeps tickets by step, with at most one call in flight from each instance."""
+
+    def __init__(
+        self,
+        *,
+        list_helpers: Callable[[], Iterable[str]],
+        call: AdviceCall,
+        timers: TimerService,
+        metrics: Metrics,
+        on_answer: Callable[[], None],
+    ) -> None:
+        self._list_helpers = list_helpers
+        self._call = call
+        self._timers = timers
+        self._metrics = metrics
+        self._on_answer = on_answer
+        self._steps: dict[StepKey, StepAdvice] = {}
+        self._waiting: dict[StepKey, AdviceRequest] = {}
+        self._busy: dict[str, bool] = {}  # Helpers with a call in flight; whether it is a long one.
+        self._bad_until: dict[str, float] = {}
+        self._group: TaskGroup | None = None
+
+    def start(self, group: TaskGroup) -> None:
+        """Run calls in a task group from now on."""
+        self._group = group
+
+    def get(self, key: StepKey) -> StepAdvice:
+        """Return what is known of a step."""
+        advice = self._steps.get(key)
+        if advice is None:
+            advice = self._steps[key] = StepAdvice()
+        return advice
+
+    def forget(self, key: StepKey) -> None:
+        """Forget a step that has ended."""
+        self._steps.pop(key, None)
+        self._waiting.pop(key, None)
+
+    def ask(self, request: AdviceRequest) -> None:
+        """Ask for a step unless that is under way."""
+        advice = self.get(request.key)
+        if advice.is_pending or not request.workers or self._timers.now() < advice.retry_at:
+            return
+        advice.is_pending = True
+        self._waiting[request.key] = request
+
+    def dispatch(self) -> None:
+        """Give waiting questions to instances that are free, the most pressing first."""
+        if self._group is None or not self._waiting:
+            return
+        now = self._timers.now()
+        helpers = [h for h in self._list_helpers() if self._bad_until.get(h, 0.0) <= now]
+        free = [helper for helper in helpers if helper not in self._busy]
+        for request in sorted(self._waiting.values(), key=lambda item: item.rank):
+            if not free:
+                return
+            is_long = request.expected_s > LONG_CALL_S
+            if is_long and 1 < len(helpers) <= sum(self._busy.values()) + 1:
+                continue
+            helper = free.pop()
+            del self._waiting[request.key]
+            self._busy[helper] = is_long
+            self._group.start_soon(self._ask_helper, helper, request)
+
+    async def _ask_helper(self, helper: str, request: AdviceRequest) -> None:
+        job, occurrence, step = request.key
+        started_at = self._timers.now()
+        timeout_s = request.expected_s * TIMEOUT_FACTOR + TIMEOUT_SLACK_S
+        message = peers_pb2.AdviseRequest(
+            job=job,
+            occurrence=occurrence,
+            step=step,
+            workers=request.workers,
+            timeout_ms=int(timeout_s * 1000),
+        )
+        try:
+            answer = await self._call(helper, message)
+        except (PeerUnreachableError, DewspindleError) as error:
+            logger.warning("advice failed", job=job, step=step, helper=helper, why=str(error))
+            self._metrics.count_retry(RetryReason.ADVICE_FAILED)
+            self._bad_until[helper] = self._timers.now() + RETRY_PAUSE_S
+            self._finish(helper, request, None)
+            return
+        now = self._timers.now()
+        self._metrics.record("dewspindle_advice_seconds", now - started_at)
+        self._finish(helper, request, answer)
+
+    def _finish(
+        self, helper: str, request: AdviceRequest, answer: peers_pb2.AdviseAnswer | None
+    ) -> None:
+        self._busy.pop(helper, None)
+        advice = self._steps.get(request.key)
+        if advice is not None:
+            advice.is_pending = False
+            self._take_over(advice, request, answer)
+        self._on_answer()
+
+    def _take_over(
+        self,
+        advice: StepAdvice,
+        request: AdviceRequest,
+        answer: peers_pb2.AdviseAnswer | None,
+    ) -> None:
+        now = self._timers.now()
+        if answer is None or answer.busy:
+            advice.retry_at = now + RETRY_PAUSE_S
+            return
+        approved = {approval.worker: approval.ticket for approval in answer.approvals}
+        advice.tickets.update(approved)
+        advice.expires_at.update(dict.fromkeys(approved, now + answer.validity_ms / 1000))
+        advice.refused.update(worker for worker in request.workers if worker not in approved)
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -0,0 +1,572 @@
+"""The leader's dispatcher: keeps the workers' sessions and the open jobs, and gives orders."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..cell.jobs import StoredJob
+from ..cell.listeners import StateListener
+from ..cell.view import CellView
+from ..models.ids import JobId
+from ..models.jobs import TaskRef
+from ..models.resources import NOTHING
+from ..replication.replica import Replica
+from ..schema import cell_pb2, jobs_pb2, peers_pb2
+from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
+from ..utils.refusals import RetryReason
+from ..utils.timers import Signal, TimerService, wait_for_event
+from .advice import AdviceCall, AdviceDesk
+from .end_reporter import EndReporter
+from .fleet import Fleet, FleetWorker, Phase, Placement, TaskKey
+from .gateway import (
+    ActiveTask,
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+    WorkerGateway,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
+from .planning import JobPlanner, Start
+from .runs import JobRun, StepRun, UnitRun
+from .session import WorkerSession
+
+ORDER_TIMEOUT_S = 1.0  # A worker answers an order within milliseconds when it is well.
+STOP_RETRY_S = 0.3
+REJECTED_PAUSE_S = 0.1  # Before a task is tried again after a worker rejected it.
+FAILED_PAUSE_S = 0.05
+SUPERSEDED_SKIP = 16  # Attempts skipped where a worker has seen one that this leader has not.
+PLAN_INTERVAL_S = 0.005  # Shortest time between two rounds, so that one round serves many events.
+IDLE_INTERVAL_S = 0.25  # Longest time between two rounds while work waits, as tickets expire.
+EXPIRE_INTERVAL_S = 10.0
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchLimits:
+    """Bounds that the deployment sets."""
+
+    lease_s: float  # Of everything that runs on a worker.
+    keep_ended_ms: int  # For which the state of a job that ended can be read.
+    early_ms: int = 0  # How much before its time an occurrence may start.
+
+
+class JobDispatcher(StateListener):
+    """Runs the open jobs during one term."""
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        view: CellView,
+        gateway: WorkerGateway,
+        advise: AdviceCall,
+        list_helpers: Callable[[], list[str]],
+        limits: DispatchLimits,
+        timers: TimerService,
+        metrics: Metrics,
+        term: int,
+    ) -> None:
+        self._replica = replica
+        self._view = view
+        self._gateway = gateway
+        self._limits = limits
+        self._timers = timers
+        self._metrics = metrics
+        self._term = term
+        self._wake = Signal()
+        self._fleet = Fleet()
+        self._sessions: dict[str, WorkerSession] = {}
+        self._runs: dict[JobId, JobRun] = {}
+        self._reporter = EndReporter(replica)
+        self._advice = AdviceDesk(
+            list_helpers=list_helpers,
+            call=advise,
+            timers=timers,
+            metrics=metrics,
+            on_answer=self.wake_planner,
+        )
+        self._planner = JobPlanner(
+            fleet=self._fleet, advice=self._advice, store=view.state.job_store, timers=timers
+        )
+        self._group: TaskGroup | None = None
+        self._enlisting: set[str] = set()
+        self._is_settled = False
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the workers."""
+        return self._fleet
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether it is known what an earlier leader started."""
+        return self._is_settled
+
+    async def run(self) -> None:
+        """Dispatch until cancelled."""
+        self._view.state.subscribe(self)
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                self._advice.start(group)
+                self._take_stock()
+                group.start_soon(self._reporter.run)
+                group.start_soon(self._expire_jobs)
+                await self._plan_rounds()
+        finally:
+            self._group = None
+            self._view.state.unsubscribe(self)
+
+    def _take_stock(self) -> None:
+        """Load what is replicated; what runs is learnt from the workers themselves."""
+        now = self._timers.now()
+        for message in self._view.state.job_store.workers.values():
+            worker = self._fleet.add(message)
+            worker.is_accounted = False
+            worker.beat_at = now
+            worker.lease.assume_granted(now=now, seconds=self._limits.lease_s)
+            self._open_session(worker)
+        for stored in self._view.state.job_store.jobs.values():
+            if stored.is_open:
+                self._add_run(stored, is_inherited=True)
+        logger.info(
+            "dispatching", term=self._term, workers=len(self._fleet), open_jobs=len(self._runs)
+        )
+
+    def _open_session(self, worker: FleetWorker) -> None:
+        assert self._group is not None
+        session = WorkerSession(
+            worker,
+            gateway=self._gateway,
+            owner=self,
+            reporter=self._reporter,
+            timers=self._timers,
+            fencing_token=self._term,
+            lease_s=self._limits.lease_s,
+        )
+        self._sessions[worker.id] = session
+        self._group.start_soon(session.run)
+
+    def _add_run(self, stored: StoredJob, *, is_inherited: bool) -> JobRun:
+        age_s = max(0, self._timers.wall_ms() - stored.message.accepted_ms) / 1000
+        run = JobRun(
+            stored,
+            queue=self._view.state.job_store.get_queue_in_force(stored),
+            accepted_at=self._timers.now() - (age_s if is_inherited else 0.0),
+            is_inherited=is_inherited,
+        )
+        self._runs[stored.id] = run
+        self._planner.add(run)
+        return run
+
+    # What the replicated state tells.
+
+    def on_job(self, job: StoredJob) -> None:
+        """Take up a job that was accepted, or stop what runs of one that ended."""
+        if job.is_open:
+            self._add_run(job, is_inherited=False)
+        else:
+            self._end_run(job)
+        self.wake_planner()
+
+    def on_queues(self) -> None:
+        """Plan again under a changed table of queues."""
+        self.wake_planner()
+
+    def _end_run(self, job: StoredJob) -> None:
+        run = self._runs.pop(job.id, None)
+        if run is None:
+            return
+        self._planner.remove(run)
+        state = jobs_pb2.JobState.Name(job.message.state).removeprefix("JOB_").lower()
+        age_s = self._timers.now() - run.objective.accepted_at
+        logger.info("job ended", job=job.id, state=state, age_s=round(age_s, 3))
+        self._metrics.record("dewspindle_job_seconds", age_s, state=state)
+        if job.message.state == jobs_pb2.JOB_SUCCEEDED:
+            return
+        for unit in run.list_units():
+            for placement in list(unit.placements.values()):
+                self._order_stop(placement, "the job ended")
+
+    # What workers announce.
+
+    async def take_beat(self, beat: peers_pb2.WorkerBeat) -> None:
+        """Take note of a worker's announcement once it may be relied on."""
+        worker = self._fleet.get(beat.worker.id)
+        if worker is None:
+            if beat.leaves:
+                return
+            worker = await self._enlist(beat.worker)
+            if worker is None:
+                return
+        now = self._timers.now()
+        was_usable = worker.is_usable(now)
+        if self._fleet.take_beat(worker, beat, now=now):
+            logger.info("worker drains", worker=worker.id, remaining_ms=beat.remaining_ms)
+            self._move_off(worker, now)
+        if beat.leaves:
+            logger.info("worker leaves", worker=worker.id, tasks=len(worker.placements))
+            self._sessions[worker.id].wake()
+        if worker.is_usable(now) and not was_usable:
+            self.wake_planner()
+
+    async def _enlist(self, message: jobs_pb2.CalledWorker) -> FleetWorker | None:
+        """Have a worker recorded before anything is started there."""
+        if message.id in self._enlisting:
+            return None
+        self._enlisting.add(message.id)
+        try:
+            command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[message]))
+            await self._replica.propose(command)
+        finally:
+            self._enlisting.discard(message.id)
+        worker = self._fleet.get(message.id)
+        if worker is None and self._group is not None:
+            worker = self._fleet.add(message)
+            self._open_session(worker)
+            logger.info("worker enlisted", worker=worker.id, pool=message.pool)
+            for earlier in self._fleet.find_by_address(message.address, other_than=message.id):
+                # Its session sees that another incarnation answers there.
+                self._sessions[earlier.id].wake()
+        return worker
+
+    def _move_off(self, worker: FleetWorker, now: float) -> None:
+        """Stop tasks that would not end before a worker leaves, to go on elsewhere."""
+        for placement in list(worker.placements.values()):
+            left_s = placement.placed_at + placement.estimate_s - now
+            if placement.phase is Phase.RUNNING and now + left_s > worker.leaves_at:
+                self._order_stop(placement, "its worker leaves before it would end")
+
+    async def discharge(self, worker: FleetWorker) -> None:
+        """Forget a worker on which nothing runs."""
+        self._fleet.remove(worker.id)
+        self._sessions.pop(worker.id, None)
+        logger.info("worker discharged", worker=worker.id)
+        command = cell_pb2.Command(discharge_workers=jobs_pb2.DischargeWorkers(ids=[worker.id]))
+        await self._replica.propose(command)
+        self.wake_planner()
+
+    # What sessions tell.
+
+    def find_key(self, task: TaskRef) -> TaskKey | None:
+        """Return the key of a task of a known job."""
+        stored = self._view.state.job_store.jobs.get(task.job)
+        if stored is None:
+            return None
+        position = stored.layout.get_position(task.occurrence, task.step, task.index)
+        return None if position is None else (task.job, position)
+
+    def _find_unit(self, key: TaskKey) -> UnitRun | None:
+        run = self._runs.get(key[0])
+        return run.get_unit(key[1]) if run is not None else None
+
+    def note_checkpoint(self, placement: Placement, checkpoint: str) -> None:
+        """Take note of a newer checkpoint of a running task."""
+        unit = self._find_unit(placement.key)
+        if unit is not None and unit.step.message.checkpointing:
+            unit.checkpoint = checkpoint
+
+    def note_listed_end(self, placement: Placement, kind: jobs_pb2.EndKind.ValueType) -> None:
+        """Learn from an end, before it is committed."""
+        now = self._timers.now()
+        if placement.worker.note_end(kind, now):
+            logger.warning("worker shunned", worker=placement.worker.id, why="tasks fail there")
+        if kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE):
+            unit = self._find_unit(placement.key)
+            if unit is not None:
+                unit.avoided.add(placement.worker.id)
+
+    def make_loss(self, placement: Placement) -> jobs_pb2.TaskEnd:
+        """Return the end of a task that went with its worker."""
+        unit = self._find_unit(placement.key)
+        self._metrics.count_retry(RetryReason.WORKER_LOST)
+        return jobs_pb2.TaskEnd(
+            job=placement.key[0],
+            position=placement.key[1],
+            attempt=placement.attempt,
+            kind=jobs_pb2.END_LAPSED,
+            checkpoint=unit.checkpoint if unit is not None else "",
+        )
+
+    def settle(self, keys: list[TaskKey]) -> None:
+        """Go on with tasks whose ends are committed."""
+        for key in keys:
+            unit = self._find_unit(key)
+            if unit is not None:
+                self._settle_unit(unit, key[1])
+        if keys:
+            self.wake_planner()
+
+    def _settle_unit(self, unit: UnitRun, position: int) -> None:
+        placement = unit.placements.get(position)
+        if placement is not None and placement.phase is Phase.ENDED:
+            del unit.placements[position]
+        step = unit.step
+        progress = step.run.stored.get_progress(unit.unit.first_position)
+        if progress is not None and progress.checkpoint:
+            unit.checkpoint = progress.checkpoint
+        if unit.is_done:
+            self._planner.finish_unit(unit)
+            return
+        for other in list(unit.placements.values()):
+            self._order_stop(other, "another member of the gang ended")
+        if unit.is_waiting:
+            unit.not_before = max(unit.not_before, self._timers.now() + FAILED_PAUSE_S)
+            self._planner.requeue(unit)
+
+    def take_unknown(self, worker: FleetWorker, active: ActiveTask) -> None:
+        """Adopt a task that an earlier leader started; stop any other."""
+        key = self.find_key(active.task)
+        unit = self._find_unit(key) if key is not None else None
+        placement = Placement(
+            key=key or (active.task.job, -1),
+            attempt=active.attempt,
+            amounts=unit.step.amounts if unit is not None else NOTHING,
+            worker=worker,
+            phase=Phase.RUNNING,
+            placed_at=self._timers.now(),
+            confirmed_at=self._timers.now(),
+            estimate_s=unit.step.estimate_s if unit is not None else 0.0,
+        )
+        is_ours = unit is not None and key is not None and self._may_adopt(unit, key, active)
+        if key is not None and key not in worker.placements:
+            worker.add(placement)
+        logger.info(
+            "running task found",
+            job=active.task.job,
+            worker=worker.id,
+            attempt=active.attempt,
+            adopted=is_ours,
+        )
+        if unit is None or key is None or not is_ours:
+            self._order_stop(placement, "it belongs to no open attempt", task=active.task)
+            return
+        unit.placements[key[1]] = placement
+        unit.attempt = max(unit.attempt, active.attempt)
+        unit.checkpoint = active.checkpoint or unit.checkpoint
+        unit.step.run.has_started = True
+        self._planner.take_out(unit)
+
+    def _may_adopt(self, unit: UnitRun, key: TaskKey, active: ActiveTask) -> bool:
+        if unit.is_done or key[1] in unit.placements or self._is_settled:
+            return False
+        return all(other.attempt == active.attempt for other in unit.placements.values())
+
+    # Planning.
+
+    def wake_planner(self) -> None:
+        """Look for work again."""
+        self._wake.set()
+
+    async def _plan_rounds(self) -> None:
+        while True:
+            event = self._wake.event
+            if self._replica.holds_lease:
+                self._settle_inheritance()
+                starts = self._planner.plan(
+                    settled=self._is_settled, early_ms=self._limits.early_ms
+                )
+                for start in starts:
+                    self._start_unit(start)
+                self._advice.dispatch()
+            await self._timers.sleep(PLAN_INTERVAL_S)
+            await wait_for_event(self._timers, event=event, seconds=IDLE_INTERVAL_S)
+
+    def _settle_inheritance(self) -> None:
+        """Free inherited jobs once every worker's lists are known or its lease is over."""
+        if self._is_settled or not all(worker.is_accounted for worker in self._fleet):
+            return
+        self._is_settled = True
+        logger.info("inherited work is known", term=self._term)
+        for run in self._runs.values():
+            for unit in run.list_units():
+                if unit.placements and len(unit.placements) < unit.unit.size:
+                    for placement in list(unit.placements.values()):
+                        self._order_stop(placement, "members of the gang are missing")
+
+    # Orders.
+
+    def _start_unit(self, start: Start) -> None:
+        unit, step = start.unit, start.unit.step
+        attempt = unit.take_attempt(term=self._term)
+        now = self._timers.now()
+        step.run.has_started = True
+        logger.info(
+            "task placed",
+            job=step.run.stored.id,
+            step=step.index,
+            position=unit.unit.first_position,
+            size=unit.unit.size,
+            attempt=attempt,
+            workers=sorted(set(start.workers.values())),
+            waited_s=round(now - step.run.objective.accepted_at, 3),
+        )
+        self._metrics.count("dewspindle_starts", unit.unit.size)
+        assert self._group is not None
+        for position, worker_id in start.workers.items():
+            worker = self._fleet.get(worker_id)
+            assert worker is not None
+            placement = Placement(
+                key=(step.run.stored.id, position),
+                attempt=attempt,
+                amounts=step.amounts,
+                worker=worker,
+                phase=Phase.STARTING,
+                placed_at=now,
+                estimate_s=step.estimate_s,
+            )
+            worker.add(placement)
+            unit.placements[position] = placement
+            order = self._make_start(step, unit, placement, start.tickets.get(worker_id, ""))
+            self._group.start_soon(self._send_start, unit, placement, order)
+
+    def _make_start(
+        self, step: StepRun, unit: UnitRun, placement: Placement, ticket: str
+    ) -> StartOrder:
+        run = step.run
+        return StartOrder(
+            task=self._make_ref(placement.key, run.stored),
+            attempt=placement.attempt,
+            payload=run.stored.message.spec.payload,
+            deadline_ms=placement.worker.lease.grant(
+                now=placement.placed_at, seconds=self._limits.lease_s
+            ),
+            fencing_token=self._term,
+            checkpoint=unit.checkpoint,
+            ticket=ticket,
+        )
+
+    def _make_ref(self, key: TaskKey, stored: StoredJob) -> TaskRef:
+        occurrence, step, index = stored.layout.locate(key[1])
+        return TaskRef(job=key[0], occurrence=occurrence, step=step, index=index)
+
+    async def _send_start(self, unit: UnitRun, placement: Placement, order: StartOrder) -> None:
+        worker = placement.worker
+        session = self._sessions.get(worker.id)
+        try:
+            answer = await self._gateway.start(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
+        except WorkerReplacedError:
+            worker.has_left = True
+            self._wake_session(session)
+            return
+        except WorkerUnreachableError as error:
+            self._note_unanswered(placement, error)
+            return
+        now = self._timers.now()
+        if answer.clock_ms is not None:
+            worker.lease.note_clock(answer.clock_ms, received_at=now)
+        if answer.outcome is OrderOutcome.ACCEPTED:
+            self._note_started(placement, now)
+            self._wake_session(session)
+            return
+        self._note_rejected(unit, placement, answer.outcome)
+
+    def _wake_session(self, session: WorkerSession | None) -> None:
+        if session is not None:
+            session.wake()
+
+    def _note_started(self, placement: Placement, now: float) -> None:
+        if placement.phase is not Phase.STARTING:
+            return
+        placement.phase = Phase.RUNNING
+        placement.confirmed_at = now
+
+    def _note_unanswered(self, placement: Placement, error: WorkerUnreachableError) -> None:
+        """Make sure that a start without an answer is not carried out later."""
+        pause_s = placement.worker.note_trouble(self._timers.now())
+        self._metrics.count_retry(RetryReason.START_UNANSWERED)
+        logger.warning(
+            "start unanswered",
+            job=placement.key[0],
+            worker=placement.worker.id,
+            why=str(error),
+            shunned_s=pause_s,
+        )
+        self._order_stop(placement, "its start was not answered")
+
+    def _note_rejected(self, unit: UnitRun, placement: Placement, outcome: OrderOutcome) -> None:
+        """Take back a start that surely did nothing."""
+        now = self._timers.now()
+        worker = placement.worker
+        logger.info("start rejected", job=placement.key[0], worker=worker.id, outcome=outcome.value)
+        self._metrics.count_retry(RetryReason.START_REJECTED)
+        worker.release(placement)
+        unit.placements.pop(placement.key[1], None)
+        unit.not_before = now + REJECTED_PAUSE_S
+        if outcome is OrderOutcome.TICKET_INVALID:
+            self._advice.get(unit.step.key).drop_ticket(worker.id)
+        elif outcome is OrderOutcome.SUPERSEDED:
+            unit.attempt += SUPERSEDED_SKIP
+        elif outcome is not OrderOutcome.LATE:
+            worker.note_trouble(now)
+        for other in list(unit.placements.values()):
+            self._order_stop(other, "another member of the gang was rejected")
+        if unit.is_waiting and self._runs.get(placement.key[0]) is unit.step.run:
+            self._planner.requeue(unit)
+        self.wake_planner()
+
+    def _order_stop(
+        self, placement: Placement, reason: str, *, task: TaskRef | None = None
+    ) -> None:
+        if placement.is_stop_ordered or placement.phase is Phase.ENDED or self._group is None:
+            return
+        placement.is_stop_ordered = True
+        placement.phase = Phase.STOPPING
+        placement.confirmed_at = float("inf")
+        if task is None:
+            stored = self._view.state.job_store.jobs.get(placement.key[0])
+            if stored is None:
+                return
+            task = self._make_ref(placement.key, stored)
+        logger.info(
+            "task stop ordered", job=placement.key[0], worker=placement.worker.id, why=reason
+        )
+        order = StopOrder(task=task, attempt=placement.attempt, fencing_token=self._term)
+        self._group.start_soon(self._send_stop, placement, order)
+
+    async def _send_stop(self, placement: Placement, order: StopOrder) -> None:
+        worker = placement.worker
+        while placement.phase is not Phase.ENDED and self._fleet.get(worker.id) is worker:
+            try:
+                answer = await self._gateway.stop(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
+            except WorkerReplacedError:
+                worker.has_left = True
+                break
+            except WorkerUnreachableError as error:
+                logger.info("stop unanswered", worker=worker.id, why=str(error))
+                await self._timers.sleep(STOP_RETRY_S)
+                continue
+            if answer.outcome is OrderOutcome.ACCEPTED:
+                placement.confirmed_at = self._timers.now()
+                break
+            logger.warning("stop rejected", worker=worker.id, outcome=answer.outcome.value)
+            await self._timers.sleep(STOP_RETRY_S)
+        self._wake_session(self._sessions.get(worker.id))
+
+    async def _expire_jobs(self) -> None:
+        """Forget jobs that ended long enough ago."""
+        while True:
+            await self._timers.sleep(EXPIRE_INTERVAL_S)
+            command = jobs_pb2.ExpireJobs(keep_ms=self._limits.keep_ended_ms)
+            await self._replica.propose(cell_pb2.Command(expire_jobs=command))
+
+    # What callers ask.
+
+    def count_waiting(self, queue: jobs_pb2.Queue) -> int:
+        """Return how many jobs of a queue have not started anything."""
+        return sum(
+            not run.has_started
+            and run.stored.message.queue.host == queue.host
+            and run.stored.message.queue.path_prefix == queue.path_prefix
+            for run in self._runs.values()
+        )
+
+    def has_started(self, job_id: JobId) -> bool:
+        """Tell whether any task of an open job has started."""
+        run = self._runs.get(job_id)
+        return run is not None and run.has_started
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/end_reporter.py
@@ -0,0 +1,57 @@
+"""Commits the ends of tasks, many in one log entry."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from ..replication.replica import Replica
+from ..schema import cell_pb2, jobs_pb2
+from ..utils.timers import Signal
+
+MAX_BATCH = 1000  # Ends in one log entry, about 60 KB.
+
+
+@dataclass(slots=True)
+class EndBatch:
+    """Ends of one worker that wait for their commit."""
+
+    ends: list[jobs_pb2.TaskEnd]
+    committed: anyio.Event = field(default_factory=anyio.Event)
+
+
+class EndReporter:
+    """Proposes what has gathered while the last proposal was in flight."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._batches: list[EndBatch] = []
+        self._wake = Signal()
+
+    async def commit(self, ends: list[jobs_pb2.TaskEnd]) -> None:
+        """Return once ends are committed; never returns where the lead is lost before."""
+        if not ends:
+            return
+        batch = EndBatch(ends)
+        self._batches.append(batch)
+        self._wake.set()
+        await batch.committed.wait()
+
+    async def run(self) -> None:
+        """Commit until cancelled; raise `DewspindleError` where the lead is lost."""
+        while True:
+            event = self._wake.event
+            if not self._batches:
+                await event.wait()
+                continue
+            await self._commit_some()
+
+    async def _commit_some(self) -> None:
+        chosen: list[EndBatch] = []
+        count = 0
+        while self._batches and count < MAX_BATCH:
+            chosen.append(self._batches.pop(0))
+            count += len(chosen[-1].ends)
+        report = jobs_pb2.ReportEnds(ends=[end for batch in chosen for end in batch.ends])
+        await self._replica.propose(cell_pb2.Command(report_ends=report))
+        for batch in chosen:
+            batch.committed.set()
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -0,0 +1,169 @@
+"""Workers that the leader calls: what they have, what runs there, and whether to use them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..models.ids import JobId
+from ..models.resources import NOTHING, Amounts, make_amounts
+from ..schema import jobs_pb2, peers_pb2
+from .gateway import WorkerEndpoint
+from .leases import WorkerLease
+
+TaskKey = tuple[JobId, int]
+
+BEAT_SILENCE_S = 5.0  # Three announcements of 1.5 s and a margin without one.
+SHUN_BASE_S = 1.0  # First pause of a worker that did not answer an order or failed its tasks.
+SHUN_LIMIT_S = 16.0
+FAILURES_TO_SHUN = 2  # Tasks failed in a row that speak against the worker, not the tasks.
+
+
+class Phase(Enum):
+    """Phases of a task on a worker."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, eq=False)
+class Placement:
+    """One attempt of a task on one worker, which holds room there until its end is known."""
+
+    key: TaskKey
+    attempt: int
+    amounts: Amounts
+    worker: "FleetWorker"
+    phase: Phase
+    placed_at: float
+    confirmed_at: float = float("inf")  # Since when it must show in the worker's lists.
+    estimate_s: float = 0.0
+    is_stop_ordered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class FleetWorker:
+    """What the leader knows of one incarnation of a worker."""
+
+    message: jobs_pb2.CalledWorker
+    capacity: Amounts
+    lease: WorkerLease = field(default_factory=WorkerLease)
+    used: Amounts = NOTHING
+    placements: dict[TaskKey, Placement] = field(default_factory=dict)
+    beat_at: float = float("-inf")
+    beat_sequence: int = -1
+    is_draining: bool = False
+    leaves_at: float = float("inf")
+    has_left: bool = False
+    is_reachable: bool = True
+    is_accounted: bool = True  # Its lists were read in this term, or nothing can run there.
+    shun_until: float = float("-inf")
+    trouble: int = 0
+    failures_in_row: int = 0
+    speed: float = 1.0  # Learnt from the run times of its tasks; above 1 is faster than the rest.
+
+    @property
+    def id(self) -> str:
+        """Return the id of the incarnation."""
+        return self.message.id
+
+    @property
+    def endpoint(self) -> WorkerEndpoint:
+        """Return where the worker is called."""
+        return WorkerEndpoint(self.message.id, self.message.address)
+
+    @property
+    def free(self) -> Amounts:
+        """Return the room that nothing holds."""
+        return self.capacity - self.used
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether tasks may be started here."""
+        return (
+            not self.is_draining
+            and not self.has_left
+            and self.is_reachable
+            and self.is_accounted
+            and self.lease.is_sampled
+            and now >= self.shun_until
+            and now - self.beat_at < BEAT_SILENCE_S
+        )
+
+    def add(self, placement: Placement) -> None:
+        """Reserve room for a placement."""
+        self.placements[placement.key] = placement
+        self.used += placement.amounts
+
+    def release(self, placement: Placement) -> None:
+        """Give the room of a placement back."""
+        if self.placements.get(placement.key) is placement:
+            del self.placements[placement.key]
+            self.used -= placement.amounts
+        placement.phase = Phase.ENDED
+
+    def note_trouble(self, now: float) -> float:
+        """Pause the use of the worker, longer each time; return the pause in seconds."""
+        pause_s: float = min(SHUN_LIMIT_S, SHUN_BASE_S * 2.0 ** min(self.trouble, 8))
+        self.trouble += 1
+        self.shun_until = now + pause_s
+        return pause_s
+
+    def note_end(self, kind: jobs_pb2.EndKind.ValueType, now: float) -> bool:
+        """Learn from an end; return whether the worker is no longer used for a while."""
+        if kind == jobs_pb2.END_DONE:
+            self.failures_in_row = 0
+            self.trouble = 0
+        elif kind == jobs_pb2.END_FAILED:
+            self.failures_in_row += 1
+            if self.failures_in_row >= FAILURES_TO_SHUN:
+                self.note_trouble(now)
+                return True
+        return False
+
+
+class Fleet:
+    """All workers by id."""
+
+    def __init__(self) -> None:
+        self._workers: dict[str, FleetWorker] = {}
+
+    def __iter__(self) -> Iterator[FleetWorker]:
+        return iter(self._workers.values())
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def get(self, worker_id: str) -> FleetWorker | None:
+        """Return a worker, if it is known."""
+        return self._workers.get(worker_id)
+
+    def add(self, message: jobs_pb2.CalledWorker) -> FleetWorker:
+        """Add a worker that runs nothing yet."""
+        worker = FleetWorker(message, capacity=make_amounts(message.capacity))
+        self._workers[message.id] = worker
+        return worker
+
+    def remove(self, worker_id: str) -> None:
+        """Forget a worker."""
+        self._workers.pop(worker_id, None)
+
+    def find_by_address(self, address: str, *, other_than: str) -> list[FleetWorker]:
+        """Return earlier incarnations at an address."""
+        return [w for w in self if w.message.address == address and w.id != other_than]
+
+    def take_beat(self, worker: FleetWorker, beat: peers_pb2.WorkerBeat, *, now: float) -> bool:
+        """Take over an announcement; return whether the worker began to drain by it."""
+        if beat.sequence <= worker.beat_sequence and not beat.leaves:
+            return False
+        worker.beat_sequence = max(worker.beat_sequence, beat.sequence)
+        worker.beat_at = now
+        if beat.clock_ms:
+            worker.lease.note_clock(beat.clock_ms, received_at=now)
+        if beat.leaves:
+            worker.has_left = True
+        began = beat.draining and not worker.is_draining
+        worker.is_draining = worker.is_draining or beat.draining
+        if beat.draining:
+            worker.leaves_at = now + beat.remaining_ms / 1000
+        return began
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/intake.py
@@ -0,0 +1,114 @@
+"""The leader's answers to callers' requests about jobs."""
+
+from ..cell.view import CellView
+from ..models.enums import JobStatus
+from ..models.ids import JobId
+from ..replication.replica import Replica
+from ..schema import cell_pb2, jobs_pb2, peers_pb2
+from ..schema.jobs_pb2 import JOB_CANCELLED, JOB_FAILED, JOB_SUCCEEDED
+from ..schema.peers_pb2 import JOB_CANCEL, JOB_READ, JOB_SUBMIT, JobAnswer, JobRequest
+from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
+from ..utils.refusals import Refusal
+from .dispatcher import JobDispatcher
+
+NOT_CONFIGURED_RETRY_MS = 1000  # The first table of queues is on its way when callers come.
+
+_STATUSES = {
+    JOB_SUCCEEDED: JobStatus.SUCCEEDED,
+    JOB_FAILED: JobStatus.FAILED,
+    JOB_CANCELLED: JobStatus.CANCELLED,
+}
+
+logger = get_logger(__name__)
+
+
+class JobIntake:
+    """Accepts, reads and cancels jobs while this instance leads."""
+
+    def __init__(
+        self, *, replica: Replica, view: CellView, dispatcher: JobDispatcher, metrics: Metrics
+    ) -> None:
+        self._replica = replica
+        self._store = view.state.job_store
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+
+    async def answer(self, request: peers_pb2.RelayJobsRequest) -> peers_pb2.RelayJobsAnswer:
+        """Answer a batch; its changes are committed together first."""
+        answers: list[JobAnswer | None] = [None] * len(request.requests)
+        submits: list[jobs_pb2.Job] = []
+        cancels: list[str] = []
+        for number, item in enumerate(request.requests):
+            queue = self._store.find_queue(item.host, item.path)
+            if queue is None:
+                answers[number] = self._refuse_unrouted(item)
+            elif item.call == JOB_SUBMIT:
+                submits.append(self._make_job(item, queue))
+            elif item.call == JOB_CANCEL:
+                cancels.append(item.path[len(queue.path_prefix) :])
+        await self._commit(submits, cancels)
+        for number, item in enumerate(request.requests):
+            if answers[number] is None:
+                answers[number] = self._answer_one(item)
+        return peers_pb2.RelayJobsAnswer(answers=[a for a in answers if a is not None])
+
+    def _make_job(self, item: JobRequest, queue: jobs_pb2.Queue) -> jobs_pb2.Job:
+        return jobs_pb2.Job(id=item.path[len(queue.path_prefix) :], queue=queue, spec=item.spec)
+
+    async def _commit(self, submits: list[jobs_pb2.Job], cancels: list[str]) -> None:
+        new = [job for job in submits if job.id not in self._store.jobs]
+        if new:
+            submit = jobs_pb2.SubmitJobs(jobs=new)
+            await self._replica.propose(cell_pb2.Command(submit_jobs=submit))
+            for job in new:
+                logger.info("job accepted", job=job.id, queue=job.queue.name)
+        if cancels:
+            cancel = jobs_pb2.CancelJobs(ids=cancels)
+            await self._replica.propose(cell_pb2.Command(cancel_jobs=cancel))
+            logger.info("jobs cancelled", jobs=cancels)
+
+    def _refuse_unrouted(self, item: JobRequest) -> JobAnswer:
+        if self._store.queue_table.version == 0:
+            return self._refuse(
+                item, Refusal.NOT_CONFIGURED, 503, retry_after_ms=NOT_CONFIGURED_RETRY_MS
+            )
+        return self._refuse(item, Refusal.NO_QUEUE, 404)
+
+    def _refuse(
+        self, item: JobRequest, refusal: Refusal, status: int, *, retry_after_ms: int = 0
+    ) -> JobAnswer:
+        self._metrics.count_refusal(refusal)
+        logger.info(
+            "request refused",
+            path=item.path,
+            call=peers_pb2.JobCall.Name(item.call),
+            code=refusal.value,
+            queues_version=self._store.queue_table.version,
+        )
+        return JobAnswer(status=status, code=refusal.value, retry_after_ms=retry_after_ms)
+
+    def _answer_one(self, item: JobRequest) -> JobAnswer:
+        if item.call == JOB_SUBMIT:
+            return JobAnswer(status=200)
+        queue = self._store.find_queue(item.host, item.path)
+        if queue is None:
+            return self._refuse_unrouted(item)
+        job_id = JobId(item.path[len(queue.path_prefix) :])
+        if item.call == JOB_READ and not job_id:
+            waiting = self._dispatcher.count_waiting(queue)
+            return JobAnswer(status=200, counted=True, waiting=waiting)
+        job = self._store.jobs.get(job_id)
+        if job is None:
+            return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
+        if item.call != JOB_READ:
+            return JobAnswer(status=200)
+        return JobAnswer(status=200, state=self._get_status(job_id).value)
+
+    def _get_status(self, job_id: JobId) -> JobStatus:
+        job = self._store.jobs[job_id]
+        ended = _STATUSES.get(job.message.state)
+        if ended is not None:
+            return ended
+        has_started = self._dispatcher.has_started(job_id)
+        return JobStatus.RUNNING if has_started else JobStatus.WAITING
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/leases.py
@@ -0,0 +1,44 @@
+"""Leases on a worker's clock, seen from the leader's."""
+
+CLOCK_DRIFT = 1.021  # A worker's clock may be 2 % slow, so its lease lasts that much longer here.
+LEASE_MARGIN_S = 0.1  # Covers rounding to whole milliseconds and late timers at the worker.
+
+
+class WorkerLease:
+    """Relates a worker's clock to the leader's and bounds when its lease is surely over."""
+
+    def __init__(self) -> None:
+        self._clock_ms = 0
+        self._sampled_at: float | None = None
+        self._ends_at = float("-inf")
+
+    @property
+    def ends_at(self) -> float:
+        """Return the leader's time after which nothing runs under the lease any more."""
+        return self._ends_at
+
+    @property
+    def is_sampled(self) -> bool:
+        """Tell whether the worker's clock is known."""
+        return self._sampled_at is not None
+
+    def note_clock(self, clock_ms: int, *, received_at: float) -> None:
+        """Take note of a worker's clock; an older reading than the known one is ignored."""
+        if self._sampled_at is not None and clock_ms < self._clock_ms:
+            return
+        self._clock_ms = clock_ms
+        self._sampled_at = received_at
+
+    def grant(self, *, now: float, seconds: float) -> int:
+        """Return the deadline, on the worker's clock, of a lease granted now."""
+        assert self._sampled_at is not None
+        elapsed_ms = max(0.0, now - self._sampled_at) * 1000
+        deadline_ms = int(self._clock_ms + elapsed_ms + seconds * 1000)
+        left_s = (deadline_ms - self._clock_ms) / 1000
+        ends_at = self._sampled_at + left_s * CLOCK_DRIFT + LEASE_MARGIN_S
+        self._ends_at = max(self._ends_at, ends_at)
+        return deadline_ms
+
+    def assume_granted(self, *, now: float, seconds: float) -> None:
+        """Count on a lease of the longest length that an earlier leader may just have granted."""
+        self._ends_at = max(self._ends_at, now + seconds * CLOCK_DRIFT + LEASE_MARGIN_S)
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -0,0 +1,269 @@
+"""Chooses, round by round, which waiting tasks start where."""
+
+from dataclasses import dataclass
+
+from ..cell.jobs import JobStore
+from ..models.ids import JobId
+from ..models.resources import Amounts
+from ..scheduling.job_order import compute_rank
+from ..scheduling.job_placement import (
+    choose_gang,
+    choose_worker,
+    count_fitting,
+    measure_leftover,
+)
+from ..schema import jobs_pb2
+from ..utils.logs import get_logger
+from ..utils.timers import TimerService
+from .advice import MAX_WORKERS, AdviceDesk, AdviceRequest, StepAdvice, estimate_call_s
+from .fleet import Fleet, FleetWorker
+from .runs import JobRun, StepRun, UnitRun
+
+MAX_ADVICE_STEPS = 12  # Waiting steps whose tickets are kept valid; those behind wait for room.
+NAMING_SHARE = 0.5  # Naming workers may cost this share of the advisor's decision time.
+LEAST_NAMED = 8  # Workers named at least, as only some are approved.
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """A unit to start now: its workers by position, and their tickets."""
+
+    unit: UnitRun
+    workers: dict[int, str]
+    tickets: dict[str, str]
+
+
+class Round:
+    """What one round of planning has given away so far."""
+
+    def __init__(self, fleet: Fleet, *, now: float) -> None:
+        self.now = now
+        self.starts: list[Start] = []
+        self.advice_asked = 0
+        self.reserved: dict[str, StepRun] = {}
+        self._taken: dict[str, Amounts] = {}
+        self._pools: dict[str, list[FleetWorker]] = {}
+        for worker in fleet:
+            if worker.is_usable(now):
+                self._pools.setdefault(worker.message.pool, []).append(worker)
+
+    def list_usable(self, pool: str) -> list[FleetWorker]:
+        """Return the workers of a pool that may be used."""
+        return self._pools.get(pool, [])
+
+    def get_room(self, worker: FleetWorker) -> Amounts:
+        """Return what this round leaves free on a worker."""
+        taken = self._taken.get(worker.id)
+        return worker.free if taken is None else worker.free - taken
+
+    def take(self, worker: FleetWorker, amounts: Amounts) -> None:
+        """Give room of a worker away."""
+        taken = self._taken.get(worker.id)
+        self._taken[worker.id] = amounts if taken is None else taken + amounts
+
+
+class JobPlanner:
+    """Holds the steps that wait for room and places them in the order of their worth."""
+
+    def __init__(
+        self, *, fleet: Fleet, advice: AdviceDesk, store: JobStore, timers: TimerService
+    ) -> None:
+        self._fleet = fleet
+        self._advice = advice
+        self._store = store
+        self._timers = timers
+        self._waiting: dict[tuple[JobId, int, int], StepRun] = {}
+
+    def add(self, run: JobRun) -> None:
+        """Take up the steps of a job."""
+        for step in run.steps.values():
+            if step.waiting:
+                self._waiting[step.key] = step
+
+    def remove(self, run: JobRun) -> None:
+        """Drop the steps of a job that ended."""
+        for step in run.steps.values():
+            self._waiting.pop(step.key, None)
+            self._advice.forget(step.key)
+
+    def requeue(self, unit: UnitRun) -> None:
+        """Let a unit wait for room again."""
+        unit.step.waiting[unit.unit.first_position] = unit
+        self._waiting[unit.step.key] = unit.step
+
+    def take_out(self, unit: UnitRun) -> None:
+        """Let a unit wait no more, as it runs already."""
+        unit.step.waiting.pop(unit.unit.first_position, None)
+
+    def finish_unit(self, unit: UnitRun) -> None:
+        """Count a unit as done, once."""
+        step = unit.step
+        self.take_out(unit)
+        step.left = sum(not other.is_done for other in step.units.values())
+        if step.left == 0:
+            self._waiting.pop(step.key, None)
+            self._advice.forget(step.key)
+
+    def plan(self, *, settled: bool, early_ms: int) -> list[Start]:
+        """Return what to start now."""
+        now = self._timers.now()
+        wall_ms = self._timers.wall_ms()
+        round_ = Round(self._fleet, now=now)
+        for step in self._list_ready(settled=settled, latest_due_ms=wall_ms + early_ms, now=now):
+            queue = self._store.get_queue_in_force(step.run.stored)
+            if step.message.gang:
+                self._place_gang(step, queue, round_)
+            else:
+                self._place_tasks(step, queue, round_)
+        return round_.starts
+
+    def _list_ready(self, *, settled: bool, latest_due_ms: int, now: float) -> list[StepRun]:
+        """Return the steps that may start, the most pressing first."""
+        ranked = []
+        for step in list(self._waiting.values()):
+            if not step.waiting:
+                del self._waiting[step.key]
+                continue
+            run = step.run
+            if run.is_inherited and not settled:
+                continue
+            if run.get_due_ms(step.occurrence) > latest_due_ms or not step.is_ready:
+                continue
+            ranked.append((self._rank(step, now), step.key, step))
+        ranked.sort(key=lambda item: item[:2])
+        return [step for _, _, step in ranked]
+
+    def _rank(self, step: StepRun, now: float) -> tuple[int, int, float]:
+        queue = step.run.stored.message.queue
+        return compute_rank(
+            objective=step.run.objective,
+            priority=queue.priority,
+            now=now,
+            left_s=step.run.tails_s[step.index],
+        )
+
+    def _list_candidates(
+        self, step: StepRun, queue: jobs_pb2.Queue, round_: Round
+    ) -> list[FleetWorker]:
+        """Return the workers that may run a step now, asking the advisor where that is due."""
+        label = step.message.required_label
+        usable = [
+            worker
+            for worker in round_.list_usable(queue.pool)
+            if not label or label in worker.message.labels
+        ]
+        if not queue.HasField("advisor"):
+            return usable
+        advice = self._advice.get(step.key)
+        approved = [worker for worker in usable if advice.has_ticket(worker.id, round_.now)]
+        if not approved and not advice.is_pending and round_.advice_asked < MAX_ADVICE_STEPS:
+            round_.advice_asked += 1
+            self._ask_advice(step, queue, advice, usable, round_)
+        return approved
+
+    def _ask_advice(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        advice: StepAdvice,
+        usable: list[FleetWorker],
+        round_: Round,
+    ) -> None:
+        """Ask for workers with most room first; those known to be refused are not named."""
+        candidates = [worker for worker in usable if worker.id not in advice.refused]
+        fitting = [
+            (count_fitting(step.amounts, round_.get_room(worker)), worker) for worker in candidates
+        ]
+        fitting.sort(key=lambda item: -item[0])
+        per_worker_ms = max(queue.advisor.per_worker_ms, 0.001)
+        affordable = int(queue.advisor.decision_ms * NAMING_SHARE / per_worker_ms)
+        needed = step.message.count if step.message.gang else len(step.waiting)
+        count = min(MAX_WORKERS, max(LEAST_NAMED, affordable, needed))
+        named = [worker.id for _, worker in fitting[:count]]
+        self._advice.ask(
+            AdviceRequest(
+                key=step.key,
+                workers=named,
+                expected_s=estimate_call_s(queue.advisor, len(named)),
+                rank=self._rank(step, round_.now),
+            )
+        )
+
+    def _place_gang(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> None:
+        candidates = self._list_candidates(step, queue, round_)
+        for unit in list(step.waiting.values()):
+            if unit.not_before > round_.now or not candidates:
+                continue
+            open_ = [w for w in candidates if round_.reserved.get(w.id, step) is step]
+            chosen = choose_gang(
+                step.amounts,
+                unit.unit.size,
+                [(worker.id, round_.get_room(worker)) for worker in open_],
+                limit_per_worker=step.message.max_per_worker,
+            )
+            if chosen is None:
+                self._reserve(step, unit, open_, round_)
+                continue
+            positions = iter(unit.unit.positions)
+            workers = {
+                next(positions): worker_id
+                for worker_id, count in chosen.items()
+                for _ in range(count)
+            }
+            self._start(step, unit, workers, round_)
+
+    def _reserve(
+        self, step: StepRun, unit: UnitRun, open_: list[FleetWorker], round_: Round
+    ) -> None:
+        """Keep workers for a gang that does not fit yet, those that can hold most of it."""
+        if round_.reserved:
+            return
+        ranked = sorted(
+            open_,
+            key=lambda worker: -count_fitting(step.amounts, round_.get_room(worker)),
+        )
+        left = unit.unit.size
+        for worker in ranked:
+            if left <= 0:
+                break
+            left -= count_fitting(step.amounts, worker.capacity)
+            round_.reserved[worker.id] = step
+
+    def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> None:
+        candidates = self._list_candidates(step, queue, round_)
+        candidates = [w for w in candidates if w.id not in round_.reserved]
+        limit = step.message.max_per_worker
+        placed: dict[str, int] = {}
+        if limit:
+            placed = {worker.id: step.count_on(worker.id) for worker in candidates}
+
+        def score(worker: FleetWorker) -> float | None:
+            room = round_.get_room(worker)
+            if not step.amounts.fits_in(room):
+                return None
+            if limit and placed[worker.id] >= limit:
+                return None
+            return measure_leftover(step.amounts, room, worker.capacity)
+
+        for unit in list(step.waiting.values()):
+            if unit.not_before > round_.now:
+                continue
+            sound = [w for w in candidates if w.id not in unit.avoided] or candidates
+            worker = choose_worker(sound, score=score)
+            if worker is None:
+                return
+            if limit:
+                placed[worker.id] += 1
+            self._start(step, unit, {unit.unit.first_position: worker.id}, round_)
+
+    def _start(self, step: StepRun, unit: UnitRun, workers: dict[int, str], round_: Round) -> None:
+        advice = self._advice.get(step.key)
+        tickets = {w: advice.tickets[w] for w in workers.values() if w in advice.tickets}
+        for worker_id in workers.values():
+            worker = self._fleet.get(worker_id)
+            assert worker is not None
+            round_.take(worker, step.amounts)
+        self.take_out(unit)
+        round_.starts.append(Start(unit=unit, workers=workers, tickets=tickets))
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/relay.py
@@ -0,0 +1,117 @@
+"""Carries callers' requests about jobs to the leader, many in one message."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..exceptions import DewspindleError, NoLeaderError, OutcomeUnknownError
+from ..network import methods
+from ..network.leader_client import LeaderClient
+from ..schema import peers_pb2
+from ..schema.peers_pb2 import JOB_READ
+from ..utils.timers import Signal, TimerService
+
+MAX_BATCH = 64  # Requests in one message.
+MAX_FLIGHTS = 4  # Messages of one lane on their way at the same time.
+RELAY_TIMEOUT_S = 2.5  # Longer than an election, shorter than callers usually wait.
+
+
+@dataclass(slots=True)
+class Relayed:
+    """A request that waits for its answer."""
+
+    request: peers_pb2.JobRequest
+    done: anyio.Event = field(default_factory=anyio.Event)
+    answer: peers_pb2.JobAnswer | None = None
+    error: DewspindleError | None = None
+
+
+class Lane:
+    """Requests of one kind, so that quick ones need not wait for those that commit."""
+
+    def __init__(self, leader: LeaderClient) -> None:
+        self._leader = leader
+        self._waiting: list[Relayed] = []
+        self._flights = 0
+        self._wake = Signal()
+
+    def add(self, item: Relayed) -> None:
+        """Have a request sent."""
+        self._waiting.append(item)
+        self._wake.set()
+
+    def discard(self, item: Relayed) -> bool:
+        """Take a request back, and tell whether it surely was not sent."""
+        if item in self._waiting:
+            self._waiting.remove(item)
+            return True
+        return False
+
+    async def run(self, group: TaskGroup) -> None:
+        """Send until cancelled."""
+        while True:
+            event = self._wake.event
+            if not self._waiting or self._flights >= MAX_FLIGHTS:
+                await event.wait()
+                continue
+            batch = self._waiting[:MAX_BATCH]
+            del self._waiting[:MAX_BATCH]
+            self._flights += 1
+            group.start_soon(self._fly, batch)
+
+    async def _fly(self, batch: Sequence[Relayed]) -> None:
+        request = peers_pb2.RelayJobsRequest(requests=[item.request for item in batch])
+        try:
+            # Jobs carry their callers' ids, so a request that is sent twice changes nothing.
+            answer = await self._leader.send(
+                methods.RELAY_JOBS, request, timeout_s=RELAY_TIMEOUT_S, is_idempotent=True
+            )
+        except DewspindleError as error:
+            for item in batch:
+                item.error = error
+        else:
+            for item, single in zip(batch, answer.answers, strict=True):
+                item.answer = single
+        finally:
+            self._flights -= 1
+            self._wake.set()
+        for item in batch:
+            item.done.set()
+
+
+class JobRelay:
+    """Sends requests about jobs to the leader."""
+
+    def __init__(self, leader: LeaderClient, *, timers: TimerService) -> None:
+        self._timers = timers
+        self._reads = Lane(leader)
+        self._changes = Lane(leader)
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._reads.run, group)
+            group.start_soon(self._changes.run, group)
+
+    async def send(self, request: peers_pb2.JobRequest, *, timeout_s: float) -> peers_pb2.JobAnswer:
+        """Return the leader's answer.
+
+        Raises `NoLeaderError` where the request surely had no effect, `OutcomeUnknownError`
+        where it may have had one.
+        """
+        lane = self._reads if request.call == JOB_READ else self._changes
+        item = Relayed(request)
+        lane.add(item)
+        try:
+            with self._timers.fail_after(timeout_s):
+                await item.done.wait()
+        except TimeoutError:
+            if lane.discard(item):
+                raise NoLeaderError("the request could not be sent in time") from None
+            raise OutcomeUnknownError("the leader did not answer in time") from None
+        if item.error is not None:
+            raise item.error
+        assert item.answer is not None
+        return item.answer
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -0,0 +1,148 @@
+"""The leader's view of open jobs: which units wait, which run, and what they wait for."""
+
+from collections.abc import Iterator
+
+from ..cell.jobs import StoredJob
+from ..models.ids import JobId
+from ..models.jobs import Unit
+from ..models.resources import Amounts, make_amounts
+from ..scheduling.job_order import Objective
+from ..schema import jobs_pb2
+from .fleet import Placement
+
+ATTEMPTS_PER_TERM = 64  # Attempts kept free for each term, as a lost leader's may be unknown.
+
+
+class UnitRun:
+    """Tasks that start together, and where their current attempt runs."""
+
+    __slots__ = ("attempt", "avoided", "checkpoint", "not_before", "placements", "step", "unit")
+
+    def __init__(self, step: "StepRun", unit: Unit) -> None:
+        self.step = step
+        self.unit = unit
+        self.placements: dict[int, Placement] = {}
+        self.attempt = 0
+        self.checkpoint = ""
+        self.not_before = float("-inf")
+        self.avoided: set[str] = set()
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the unit has ended well."""
+        return self.step.run.stored.is_done(self.unit.first_position)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether nothing of the unit is placed and it has to run."""
+        return not self.placements and not self.is_done
+
+    def take_attempt(self, *, term: int) -> int:
+        """Return the number of the next attempt, above every one that may have been used."""
+        stored = self.step.run.stored
+        known = [self.attempt]
+        for position in self.unit.positions:
+            progress = stored.get_progress(position)
+            if progress is not None:
+                known.append(progress.last_ended_attempt)
+        first = max(0, term - stored.message.accepted_term) * ATTEMPTS_PER_TERM
+        self.attempt = max(*known, first) + 1
+        return self.attempt
+
+
+class StepRun:
+    """One step of one occurrence of a job."""
+
+    def __init__(self, run: "JobRun", occurrence: int, index: int) -> None:
+        self.run = run
+        self.occurrence = occurrence
+        self.index = index
+        self.message: jobs_pb2.JobStep = run.stored.message.spec.steps[index]
+        self.amounts: Amounts = make_amounts(self.message.resources)
+        self.estimate_s = self.message.estimate_ms / 1000
+        self.units: dict[int, UnitRun] = {}
+        self.waiting: dict[int, UnitRun] = {}
+        self.left = 0
+        self.blocked_reason = ""
+
+    @property
+    def key(self) -> tuple[JobId, int, int]:
+        """Return the job, occurrence and number of the step."""
+        return (self.run.stored.id, self.occurrence, self.index)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether all steps before this one are done."""
+        steps = self.run.steps
+        return all(steps[self.occurrence, i].left == 0 for i in self.message.depends_on)
+
+    def count_on(self, worker_id: str) -> int:
+        """Return how many tasks of the step a worker runs."""
+        return sum(
+            placement.worker.id == worker_id
+            for unit in self.units.values()
+            for placement in unit.placements.values()
+        )
+
+
+class JobRun:
+    """One open job."""
+
+    def __init__(
+        self, stored: StoredJob, *, queue: jobs_pb2.Queue, accepted_at: float, is_inherited: bool
+    ) -> None:
+        self.stored = stored
+        self.is_inherited = is_inherited
+        self.has_started = bool(stored.message.tasks)
+        self.steps: dict[tuple[int, int], StepRun] = {}
+        self._unit_by_position: dict[int, UnitRun] = {}
+        self._add_steps()
+        self.tails_s = self._compute_tails()
+        chain_s = max(self.tails_s, default=0.0)
+        self.objective = Objective(
+            accepted_at=accepted_at, seconds=chain_s * queue.slack_factor + queue.aim_ms / 1000
+        )
+
+    def _add_steps(self) -> None:
+        spec = self.stored.message.spec
+        for occurrence in range(self.stored.layout.runs):
+            for index in range(len(spec.steps)):
+                self.steps[occurrence, index] = StepRun(self, occurrence, index)
+        for unit in self.stored.layout.list_units():
+            step = self.steps[unit.occurrence, unit.step]
+            unit_run = UnitRun(step, unit)
+            step.units[unit.first_position] = unit_run
+            for position in unit.positions:
+                self._unit_by_position[position] = unit_run
+            progress = self.stored.get_progress(unit.first_position)
+            if progress is not None:
+                unit_run.checkpoint = progress.checkpoint
+            if not unit_run.is_done:
+                step.left += 1
+                step.waiting[unit.first_position] = unit_run
+
+    def _compute_tails(self) -> list[float]:
+        """Return, for each step, the estimate of the longest chain that begins with it."""
+        steps = self.stored.message.spec.steps
+        tails = [step.estimate_ms / 1000 for step in steps]
+        for index in range(len(steps) - 1, -1, -1):
+            for earlier in steps[index].depends_on:
+                own_s = steps[earlier].estimate_ms / 1000
+                tails[earlier] = max(tails[earlier], own_s + tails[index])
+        return tails
+
+    def get_unit(self, position: int) -> UnitRun:
+        """Return the unit of the task at a position."""
+        return self._unit_by_position[position]
+
+    def list_units(self) -> Iterator[UnitRun]:
+        """Yield every unit."""
+        for step in self.steps.values():
+            yield from step.units.values()
+
+    def get_due_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start, in milliseconds since the epoch; 0 for at once."""
+        spec = self.stored.message.spec
+        if not spec.repeat_count:
+            return 0
+        return int(spec.first_due_ms + occurrence * spec.interval_ms)
--- a/src/dewspindle/_internal/models/enums.py
+++ b/src/dewspindle/_internal/models/enums.py
@@ -67,6 +67,16 @@
     THROTTLE = "throttle"
 
 
+class JobStatus(Enum):
+    """What a caller may read of a job."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
 class Ran(Enum):
     """Whether a backend server ran a call."""
 
--- a/src/dewspindle/_internal/models/ids.py
+++ b/src/dewspindle/_internal/models/ids.py
@@ -8,6 +8,7 @@
 TaskId = NewType("TaskId", str)
 WorkerId = NewType("WorkerId", str)
 BackendId = NewType("BackendId", str)
+JobId = NewType("JobId", str)
 
 
 def make_task_id(record: str, index: int) -> TaskId:
--- /dev/null
+++ b/src/dewspindle/_internal/models/jobs.py
@@ -0,0 +1,88 @@
+"""Where the tasks of a job of several steps stand among each other."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..schema import jobs_pb2
+from .ids import JobId
+
+
+@dataclass(frozen=True, slots=True)
+class TaskRef:
+    """One task of a job: an occurrence of the job, a step, and an index in the step."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unit:
+    """Tasks that start together: all of a gang step, or a single task."""
+
+    occurrence: int
+    step: int
+    first_position: int
+    size: int
+
+    @property
+    def positions(self) -> range:
+        """Return the positions of the tasks in the job."""
+        return range(self.first_position, self.first_position + self.size)
+
+
+class JobLayout:
+    """Numbers the tasks of a job: occurrence by occurrence, step by step."""
+
+    def __init__(self, spec: jobs_pb2.JobSpec) -> None:
+        self._steps = spec.steps
+        self._offsets: list[int] = []
+        total = 0
+        for step in spec.steps:
+            self._offsets.append(total)
+            total += step.count
+        self._tasks_per_run = total
+        self._runs = max(1, spec.repeat_count)
+
+    @property
+    def runs(self) -> int:
+        """Return how often the steps run."""
+        return self._runs
+
+    @property
+    def size(self) -> int:
+        """Return the number of tasks."""
+        return self._tasks_per_run * self._runs
+
+    def get_position(self, occurrence: int, step: int, index: int) -> int | None:
+        """Return the position of a task, or None where the job has no such task."""
+        if not 0 <= occurrence < self._runs or not 0 <= step < len(self._steps):
+            return None
+        if not 0 <= index < self._steps[step].count:
+            return None
+        return occurrence * self._tasks_per_run + self._offsets[step] + index
+
+    def locate(self, position: int) -> tuple[int, int, int]:
+        """Return occurrence, step and index of a position."""
+        occurrence, rest = divmod(position, self._tasks_per_run)
+        step = len(self._offsets) - 1
+        while self._offsets[step] > rest:
+            step -= 1
+        return occurrence, step, rest - self._offsets[step]
+
+    def get_unit_position(self, position: int) -> int:
+        """Return the position that stands for the task's unit: the first of a gang."""
+        occurrence, step, _ = self.locate(position)
+        if not self._steps[step].gang:
+            return position
+        return occurrence * self._tasks_per_run + self._offsets[step]
+
+    def list_units(self) -> Iterator[Unit]:
+        """Yield every unit in order."""
+        for occurrence in range(self._runs):
+            for number, step in enumerate(self._steps):
+                first = occurrence * self._tasks_per_run + self._offsets[number]
+                size = step.count if step.gang else 1
+                for start in range(first, first + step.count, size):
+                    yield Unit(occurrence, number, start, size)
--- a/src/dewspindle/_internal/models/resources.py
+++ b/src/dewspindle/_internal/models/resources.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..schema import cell_pb2
+from ..schema import resources_pb2
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,9 +46,9 @@
             max(self.accelerators, other.accelerators),
         )
 
-    def to_message(self) -> cell_pb2.Resources:
+    def to_message(self) -> resources_pb2.Resources:
         """Return the message that carries these amounts, none of them below zero."""
-        return cell_pb2.Resources(
+        return resources_pb2.Resources(
             processors=max(0, self.processors),
             memory_mb=max(0, self.memory_mb),
             accelerators=max(0, self.accelerators),
@@ -62,6 +62,6 @@
 NOTHING = Amounts()
 
 
-def make_amounts(message: cell_pb2.Resources) -> Amounts:
+def make_amounts(message: resources_pb2.Resources) -> Amounts:
     """Return the amounts that a message carries."""
     return Amounts(message.processors, message.memory_mb, message.accelerators)
--- a/src/dewspindle/_internal/network/json_client.py
+++ b/src/dewspindle/_internal/network/json_client.py
@@ -50,7 +50,10 @@
             raise ServerUnreachableError(f"{self._base}: {error or type(error).__name__}") from None
         names = {k.decode().lower(): v.decode() for k, v in response.headers}
         is_json = "json" in names.get("content-type", "")
-        value = json.loads(response.content) if is_json else response.content
+        try:
+            value = json.loads(response.content) if is_json else response.content
+        except ValueError as error:
+            raise ServerUnreachableError(f"{self._base}: the answer is not JSON") from error
         return JsonAnswer(status=response.status, headers=names, body=value)
 
     async def close(self) -> None:
--- a/src/dewspindle/_internal/network/leader_client.py
+++ b/src/dewspindle/_internal/network/leader_client.py
@@ -5,13 +5,12 @@
 
 from google.protobuf.message import Message
 
-from ..cell.view import CellView
 from ..exceptions import DewspindleError, NoLeaderError, OutcomeUnknownError
 from ..replication.transport import PeerUnreachableError
 from ..schema import cell_pb2, peers_pb2
 from ..utils.metrics import Metrics
 from ..utils.refusals import RetryReason
-from ..utils.timers import TimerService, wait_for_event
+from ..utils.timers import Signal, TimerService, wait_for_event
 from . import methods
 from .methods import Method
 from .peer_client import RefusedByPeerError
@@ -32,6 +31,18 @@
         """Send the request and return the answer."""
 
 
+class LeaderSource(Protocol):
+    """Knows who leads."""
+
+    @property
+    def leader_address(self) -> str:
+        """Return the peer address of the leader as far as is known, or an empty string."""
+
+    @property
+    def signal(self) -> Signal:
+        """Return the signal that is set after each change."""
+
+
 class LeaderClient:
     """Finds the leader, on this instance or another, and retries what may be retried."""
 
@@ -39,16 +50,18 @@
         self,
         *,
         own_address: str,
-        view: CellView,
+        view: LeaderSource,
         caller: Caller,
         timers: TimerService,
         metrics: Metrics,
+        attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
     ) -> None:
         self._own_address = own_address
         self._view = view
         self._caller = caller
         self._timers = timers
         self._metrics = metrics
+        self._attempt_timeout_s = attempt_timeout_s
         self._local: dict[str, Callable[[Any], Awaitable[Any]]] = {}
 
     def register_local(
@@ -109,7 +122,7 @@
         if address == self._own_address:
             return await self._local[method.name](request)  # type: ignore[no-any-return]
         return await self._caller.call(
-            address, method, request, timeout_s=min(timeout_s, ATTEMPT_TIMEOUT_S)
+            address, method, request, timeout_s=min(timeout_s, self._attempt_timeout_s)
         )
 
     def _make_timeout(self, *, may_have_run: bool) -> DewspindleError:
--- a/src/dewspindle/_internal/network/methods.py
+++ b/src/dewspindle/_internal/network/methods.py
@@ -5,7 +5,7 @@
 
 from google.protobuf.message import Message
 
-from ..schema import cell_pb2, peers_pb2
+from ..schema import cell_pb2, jobs_pb2, peers_pb2
 
 Q = TypeVar("Q", bound=Message)
 A = TypeVar("A", bound=Message)
@@ -38,4 +38,8 @@
 PROPOSE = Method("Propose", peers_pb2.ProposeRequest, cell_pb2.Result)
 RELAY_POLL = Method("RelayPoll", peers_pb2.RelayPollRequest, peers_pb2.RelayPollAnswer)
 SHARE = Method("Share", peers_pb2.ShareRequest, peers_pb2.ShareAnswer)
+RELAY_JOBS = Method("RelayJobs", peers_pb2.RelayJobsRequest, peers_pb2.RelayJobsAnswer)
+RELAY_BEAT = Method("RelayBeat", peers_pb2.RelayBeatRequest, peers_pb2.RelayBeatAnswer)
+ADVISE = Method("Advise", peers_pb2.AdviseRequest, peers_pb2.AdviseAnswer)
+READ_QUEUES = Method("ReadQueues", peers_pb2.ReadQueueTableRequest, jobs_pb2.QueueTable)
 CHANGE_MEMBERS = Method("ChangeMembers", peers_pb2.ChangeMembersRequest, cell_pb2.Result)
--- a/src/dewspindle/_internal/network/peer_client.py
+++ b/src/dewspindle/_internal/network/peer_client.py
@@ -20,6 +20,8 @@
 HELLO_TIMEOUT_S = 2.0
 VOTE_TIMEOUT_S = 2.0
 SNAPSHOT_TIMEOUT_S = 60.0
+KEEPALIVE_INTERVAL_MS = 2000  # Between two probes of a quiet connection.
+KEEPALIVE_TIMEOUT_MS = 1000  # Without an answer to a probe, the connection is given up.
 CODE_KEY = "dewspindle-code"
 CHANNEL_OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -28,6 +30,13 @@
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
     ("grpc.enable_http_proxy", 0),
+    # A connection may fall silent without a reset, so it is probed, in use or not.
+    ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS // 2),
+    ("grpc.http2.max_ping_strikes", 0),
 ]
 
 
--- /dev/null
+++ b/src/dewspindle/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its settings file, its wire names and its calls."""
--- /dev/null
+++ b/src/dewspindle/_internal/platform/asgi.py
@@ -0,0 +1,69 @@
+"""Small pieces of the applications: reading a body, sending JSON, starting and ending."""
+
+import json
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from ..exceptions import BodyTooLargeError
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+
+class ClientGoneError(Exception):
+    """The client went away before its request was read whole."""
+
+
+async def read_body(receive: Receive, *, max_bytes: int) -> bytes:
+    """Return the whole body; raise `BodyTooLargeError` or `ClientGoneError`."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ClientGoneError
+        part = message.get("body", b"")
+        size += len(part)
+        if size > max_bytes:
+            raise BodyTooLargeError(f"the body is larger than {max_bytes} bytes")
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def send_json(
+    send: Send, status: int, body: Any = None, *, headers: dict[str, str] | None = None
+) -> None:
+    """Send an answer with a JSON body."""
+    await send_bytes(
+        send, status, json.dumps(body if body is not None else {}).encode(), headers=headers
+    )
+
+
+async def send_bytes(
+    send: Send,
+    status: int,
+    content: bytes,
+    *,
+    content_type: str = "application/json",
+    headers: dict[str, str] | None = None,
+) -> None:
+    """Send an answer."""
+    fields = {
+        "content-type": content_type,
+        "content-length": str(len(content)),
+        **(headers or {}),
+    }
+    raw = [(name.encode(), value.encode()) for name, value in fields.items()]
+    await send({"type": "http.response.start", "status": status, "headers": raw})
+    await send({"type": "http.response.body", "body": content})
+
+
+def get_header(scope: Scope, name: bytes) -> str:
+    """Return a header by its name in small letters, or an empty string."""
+    for key, value in scope["headers"]:
+        if key == name:
+            return str(value.decode("latin-1"))
+    return ""
--- /dev/null
+++ b/src/dewspindle/_internal/platform/client_app.py
@@ -0,0 +1,129 @@
+"""The interface to callers: handing in, reading and cancelling jobs."""
+
+import math
+from typing import Any
+
+from ..exceptions import (
+    BodyTooLargeError,
+    DewspindleError,
+    InvalidDocumentError,
+    MalformedBodyError,
+    NoLeaderError,
+)
+from ..jobs.relay import RELAY_TIMEOUT_S, JobRelay
+from ..models.enums import JobStatus
+from ..schema import peers_pb2
+from ..schema.peers_pb2 import JOB_CANCEL, JOB_READ, JOB_SUBMIT
+from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
+from ..utils.refusals import Refusal
+from ..utils.timers import TimerService
+from .asgi import ClientGoneError, Receive, Scope, Send, get_header, read_body, send_json
+from .job_bodies import STATE_WORDS, decode_job
+
+MAX_BODY_BYTES = 1024 * 1024  # The configured limit is smaller and known to the leader only.
+ANSWER_MARGIN_S = 0.1  # Kept of a caller's deadline for the way back.
+LEAST_TIMEOUT_S = 0.05
+RETRY_AFTER_S = 1  # About the time of an election.
+
+_CALLS = {"POST": JOB_SUBMIT, "GET": JOB_READ, "DELETE": JOB_CANCEL}
+
+logger = get_logger(__name__)
+
+
+class ClientApp:
+    """Relays callers' requests about jobs."""
+
+    def __init__(self, *, relay: JobRelay, timers: TimerService, metrics: Metrics) -> None:
+        self._relay = relay
+        self._timers = timers
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        started_at = self._timers.now()
+        call = _CALLS.get(scope["method"])
+        if call is None:
+            await send_json(send, 405, {"error": "method-not-allowed"})
+            return
+        try:
+            request = await self._make_request(call, scope, receive)
+        except ClientGoneError:
+            return
+        except (BodyTooLargeError, InvalidDocumentError, MalformedBodyError) as error:
+            logger.info("request refused", path=scope["path"], code=error.code, why=error.detail)
+            status = 413 if isinstance(error, BodyTooLargeError) else 400
+            await send_json(send, status, {"error": error.code, "detail": error.detail})
+            return
+        await self._answer(request, scope, send)
+        name = peers_pb2.JobCall.Name(call)
+        self._metrics.record(
+            "dewspindle_request_seconds", self._timers.now() - started_at, call=name
+        )
+
+    async def _make_request(
+        self, call: peers_pb2.JobCall.ValueType, scope: Scope, receive: Receive
+    ) -> peers_pb2.JobRequest:
+        body = await read_body(receive, max_bytes=MAX_BODY_BYTES)
+        request = peers_pb2.JobRequest(
+            call=call,
+            host=get_header(scope, b"host").partition(":")[0],
+            path=scope["path"],
+        )
+        if call == JOB_SUBMIT:
+            request.spec.CopyFrom(decode_job(body))
+        return request
+
+    async def _answer(self, request: peers_pb2.JobRequest, scope: Scope, send: Send) -> None:
+        try:
+            answer = await self._relay.send(request, timeout_s=self._get_timeout(scope))
+        except NoLeaderError as error:
+            # Nothing was sent to a leader that acted on it, so the request has not run.
+            self._metrics.count_refusal(Refusal.NO_LEADER)
+            self._log_refusal(request, status=503, code=error.code, why=error.detail)
+            await send_json(
+                send, 503, {"error": error.code}, headers={"retry-after": str(RETRY_AFTER_S)}
+            )
+            return
+        except DewspindleError as error:
+            self._log_refusal(request, status=504, code=error.code, why=error.detail)
+            await send_json(send, 504, {"error": error.code})
+            return
+        await self._send_answer(request, answer, send)
+
+    def _get_timeout(self, scope: Scope) -> float:
+        text = get_header(scope, b"x-dewspindle-deadline-ms")
+        if not text.isascii() or not text.isdigit():
+            return RELAY_TIMEOUT_S
+        timeout_s = int(text) / 1000 - ANSWER_MARGIN_S
+        return max(LEAST_TIMEOUT_S, min(timeout_s, RELAY_TIMEOUT_S))
+
+    async def _send_answer(
+        self, request: peers_pb2.JobRequest, answer: peers_pb2.JobAnswer, send: Send
+    ) -> None:
+        headers: dict[str, str] = {}
+        body: dict[str, Any] = {}
+        if answer.retry_after_ms:
+            headers["retry-after"] = str(math.ceil(answer.retry_after_ms / 1000))
+        if answer.counted:
+            body["pending"] = answer.waiting
+        elif answer.state:
+            body["state"] = STATE_WORDS[JobStatus(answer.state)]
+        if answer.code:
+            body["error"] = answer.code
+            self._log_refusal(request, status=answer.status, code=answer.code, why="the leader")
+        await send_json(send, answer.status, body, headers=headers)
+
+    def _log_refusal(
+        self, request: peers_pb2.JobRequest, *, status: int, code: str, why: str
+    ) -> None:
+        logger.info(
+            "request refused",
+            path=request.path,
+            call=peers_pb2.JobCall.Name(request.call),
+            status=status,
+            code=code,
+            why=why,
+        )
--- /dev/null
+++ b/src/dewspindle/_internal/platform/control_app.py
@@ -0,0 +1,98 @@
+"""The interface to workers and the operator."""
+
+from collections.abc import Awaitable, Callable
+
+from ..exceptions import BodyTooLargeError, DewspindleError
+from ..network import methods
+from ..network.leader_client import LeaderClient
+from ..schema import cell_pb2, jobs_pb2, peers_pb2
+from ..utils.logs import get_logger
+from ..utils.timers import TimerService
+from .asgi import ClientGoneError, Receive, Scope, Send, read_body, send_bytes, send_json
+from .beats import decode_beat
+from .queue_table import decode_queue_table
+
+MAX_BODY_BYTES = 4 * 1024 * 1024  # A configuration of thousands of routes.
+BEAT_TIMEOUT_S = 0.9  # A worker turns to another instance after a second.
+CONFIG_TIMEOUT_S = 0.9  # The operator, too.
+BEAT_PREFIX = "/Instances.Heartbeat/"
+LEAVE_PREFIX = "/Instances.Deregister/"
+
+Handler = Callable[[str, bytes, Send], Awaitable[None]]
+
+logger = get_logger(__name__)
+
+
+class ControlApp:
+    """Takes announcements and configuration to the leader."""
+
+    def __init__(self, *, leader: LeaderClient, timers: TimerService) -> None:
+        self._leader = leader
+        self._timers = timers
+        self._routes: list[tuple[str, str, Handler]] = [
+            ("POST", BEAT_PREFIX, self._take_beat),
+            ("POST", LEAVE_PREFIX, self._take_leave),
+            ("POST", "/Config.Replace", self._replace_config),
+            ("GET", "/Config.Read", self._read_config),
+        ]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        path: str = scope["path"]
+        for method, prefix, handler in self._routes:
+            if method == scope["method"] and path.startswith(prefix):
+                await self._handle(handler, path[len(prefix) :], receive, send)
+                return
+        await send_json(send, 404, {"error": "not-found"})
+
+    async def _handle(self, handler: Handler, rest: str, receive: Receive, send: Send) -> None:
+        try:
+            body = await read_body(receive, max_bytes=MAX_BODY_BYTES)
+            await handler(rest, body, send)
+        except ClientGoneError:
+            return
+        except BodyTooLargeError as error:
+            await send_json(send, 413, {"error": error.code})
+        except DewspindleError as error:
+            status = 400 if error.status in (400, 422) else 503
+            logger.info("control request failed", code=error.code, why=error.detail, status=status)
+            await send_json(send, status, {"error": error.code, "detail": error.detail})
+
+    async def _take_beat(self, worker_id: str, body: bytes, send: Send) -> None:
+        await self._relay_beat(decode_beat(worker_id, body))
+        await send_json(send, 200)
+
+    async def _take_leave(self, worker_id: str, body: bytes, send: Send) -> None:
+        worker = jobs_pb2.CalledWorker(id=worker_id)
+        await self._relay_beat(peers_pb2.WorkerBeat(worker=worker, leaves=True))
+        await send_json(send, 200)
+
+    async def _relay_beat(self, beat: peers_pb2.WorkerBeat) -> None:
+        await self._leader.send(
+            methods.RELAY_BEAT,
+            peers_pb2.RelayBeatRequest(beat=beat),
+            timeout_s=BEAT_TIMEOUT_S,
+            is_idempotent=True,
+        )
+
+    async def _replace_config(self, _: str, body: bytes, send: Send) -> None:
+        table = decode_queue_table(body)
+        await self._leader.propose(
+            cell_pb2.Command(queue_table=table), timeout_s=CONFIG_TIMEOUT_S, is_idempotent=True
+        )
+        logger.info("configuration accepted", version=table.version, queues=len(table.queues))
+        await send_json(send, 200)
+
+    async def _read_config(self, _: str, body: bytes, send: Send) -> None:
+        table = await self._leader.send(
+            methods.READ_QUEUES,
+            peers_pb2.ReadQueueTableRequest(),
+            timeout_s=CONFIG_TIMEOUT_S,
+            is_idempotent=True,
+        )
+        if table.version == 0:
+            await send_json(send, 503, {"error": "not-configured"})
+            return
+        await send_bytes(send, 200, table.document)
--- /dev/null
+++ b/src/dewspindle/_internal/platform/probe_app.py
@@ -0,0 +1,30 @@
+"""Readiness for the platform's balancer, and metrics."""
+
+from collections.abc import Callable
+
+from ..utils.metrics import Metrics
+from .asgi import Receive, Scope, Send, send_bytes, send_json
+
+
+class ReadinessApp:
+    """Tells whether new connections may come here."""
+
+    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] == "http":
+            await send_json(send, 200 if self._is_ready() else 503)
+
+
+class MetricsApp:
+    """Shows all metrics as Prometheus text."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        if scope["type"] == "http":
+            await send_bytes(send, 200, self._metrics.render(), content_type="text/plain")
--- /dev/null
+++ b/src/dewspindle/_internal/platform/settings_file.py
@@ -0,0 +1,106 @@
+"""The platform's settings file, decoded into what the program needs of it."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..exceptions import InvalidSettingError
+
+FILE_VARIABLE = "DEWSPINDLE_NODE_FILE"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What the platform tells one process."""
+
+    instance_id: str
+    availability_zone: str
+    ip: str
+    peer_port: int
+    client_address: str  # Empty on an instance that callers do not reach.
+    readiness_address: str
+    control_address: str  # Empty on an instance that workers and operators do not reach.
+    seed_hosts: list[str]  # IP numbers of some replicas.
+    may_form: bool  # The whole system starts for the first time.
+    lost_at_once: int  # Replicas that may be lost at the same time.
+    data_dir: str
+    advisor_address: str
+    max_lease_ms: int
+    keep_ended_ms: int
+    early_ms: int
+    grace_ms: int  # Between a request to stop and the kill.
+
+
+def load_platform_settings(path: Path | None = None) -> PlatformSettings:
+    """Read the file; raise `InvalidSettingError` naming the field that is wrong."""
+    if path is None:
+        name = os.environ.get(FILE_VARIABLE, "")
+        if not name:
+            raise InvalidSettingError(f"{FILE_VARIABLE} is not set")
+        path = Path(name)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidSettingError(f"{path} cannot be read: {error}") from None
+    return decode_platform_settings(text)
+
+
+def decode_platform_settings(text: str) -> PlatformSettings:
+    """Decode lines of the form `a.b=value`; unknown ones are ignored."""
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    return PlatformSettings(
+        instance_id=_read_text(fields, "node_name"),
+        availability_zone=_read_text(fields, "zone"),
+        ip=_read_text(fields, "ip"),
+        peer_port=_read_first_port(fields),
+        client_address=fields.get("bind_addrs.client_addr", ""),
+        readiness_address=fields.get("bind_addrs.readiness", ""),
+        control_address=fields.get("bind_addrs.admin", ""),
+        seed_hosts=_read_hosts(fields, "seed_nodes"),
+        may_form=fields.get("bootstrap", "false") == "true",
+        lost_at_once=_read_count(fields, "fault_tolerance.machines", default=0),
+        data_dir=fields.get("data_dir", ""),
+        advisor_address=fields.get("advisor", ""),
+        max_lease_ms=_read_count(fields, "policy_limits.max_hold_ms", default=10_000),
+        keep_ended_ms=1000 * _read_count(fields, "policy_limits.status_s", default=120),
+        early_ms=_read_count(fields, "policy_limits.early_ms", default=0),
+        grace_ms=int(1000 * _read_number(fields, "policy_limits.grace_period_s", default=6.0)),
+    )
+
+
+def _read_text(fields: dict[str, str], name: str) -> str:
+    value = fields.get(name, "")
+    if not value:
+        raise InvalidSettingError(f"the settings file lacks {name!r}")
+    return value
+
+
+def _read_number(fields: dict[str, str], name: str, *, default: float) -> float:
+    text = fields.get(name, "")
+    if not text:
+        return default
+    try:
+        return float(text)
+    except ValueError:
+        raise InvalidSettingError(f"{name!r} is {text!r}, not a number") from None
+
+
+def _read_count(fields: dict[str, str], name: str, *, default: int) -> int:
+    return int(_read_number(fields, name, default=default))
+
+
+def _read_first_port(fields: dict[str, str]) -> int:
+    text = _read_text(fields, "internal_ports").split(",")[0]
+    if not text.strip().isdigit():
+        raise InvalidSettingError(f"'internal_ports' begins with {text!r}, not a port")
+    return int(text)
+
+
+def _read_hosts(fields: dict[str, str], name: str) -> list[str]:
+    """Return the IP numbers of a list of addresses."""
+    items = [item.strip() for item in fields.get(name, "").split(",")]
+    return [item.rpartition(":")[0] for item in items if ":" in item]
--- a/src/dewspindle/_internal/records/conversion.py
+++ b/src/dewspindle/_internal/records/conversion.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 from ..exceptions import InvalidDocumentError, UnknownSchemaVersionError
-from ..schema import cell_pb2, documents_pb2
+from ..schema import cell_pb2, documents_pb2, resources_pb2
 from ..utils.documents import parse_document
 
 Document = dict[str, Any]
@@ -138,7 +138,7 @@
         team=parsed.team,
         kind=parsed.kind,
         priority=parsed.priority or "normal",
-        resources=cell_pb2.Resources(
+        resources=resources_pb2.Resources(
             processors=parsed.resources.processors,
             memory_mb=parsed.resources.memory_mb,
             accelerators=parsed.resources.accelerators,
--- a/src/dewspindle/_internal/replication/formation.py
+++ b/src/dewspindle/_internal/replication/formation.py
@@ -1,16 +1,24 @@
 """How an empty replica becomes a member: by forming a cell, or by joining one."""
 
+from collections import Counter
+
 import anyio
 
 from ..exceptions import NotLeaderError
+from ..models.enums import Role
 from ..schema import cell_pb2, peers_pb2, storage_pb2
 from ..settings.loading import Peer, parse_peers
+from ..utils.addresses import parse_address
 from ..utils.logs import get_logger
+from .address_book import AddressBook
 from .context import ReplicaContext
 from .metadata import make_random_id
 from .transport import PeerUnreachableError
 
 RETRY_PAUSE_S = 0.2
+SETTLE_ROUNDS = 2  # Rounds with enough replicas before forming, so that more zones are known.
+REJOIN_CHECK_S = 1.0  # Interval between looks at whether the leader still sends entries.
+REJOIN_SILENCE = 3.0  # Election timeouts without a leader after which to ask to join again.
 
 logger = get_logger(__name__)
 
@@ -18,8 +26,10 @@
 class Formation:
     """Brings the data folder from empty to that of a member."""
 
-    def __init__(self, context: ReplicaContext) -> None:
+    def __init__(self, context: ReplicaContext, *, book: AddressBook | None = None) -> None:
         self._context = context
+        self._book = book or AddressBook(context.settings)
+        self._settled_rounds = 0
         self._is_member = anyio.Event()
         if context.metadata.phase == peers_pb2.PHASE_MEMBER:
             self._is_member.set()
@@ -38,30 +48,37 @@
                 await self._context.timers.sleep(RETRY_PAUSE_S)
 
     async def _ask_peers(self) -> dict[str, peers_pb2.HelloAnswer]:
-        """Return the answer of each peer that gave one, by instance id."""
+        """Return the answer of each replica that gave one, by instance id."""
         answers: dict[str, peers_pb2.HelloAnswer] = {}
         async with anyio.create_task_group() as group:
-            for peer in parse_peers(self._context.settings.peers):
-                if peer.instance_id != self._context.settings.instance_id:
-                    group.start_soon(self._ask_peer, peer, answers)
+            for address in self._book.others:
+                group.start_soon(self._ask_peer, address, answers)
         return answers
 
-    async def _ask_peer(self, peer: Peer, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
+    async def _ask_peer(self, address: str, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
+        settings = self._context.settings
         request = peers_pb2.HelloRequest(
-            instance_id=self._context.settings.instance_id, replica_id=self._context.replica_id
+            instance_id=settings.instance_id,
+            replica_id=self._context.replica_id,
+            address=settings.peer_address,
+            availability_zone=settings.availability_zone,
         )
         try:
-            answers[peer.instance_id] = await self._context.transport.say_hello(
-                str(peer.address), request
-            )
+            answer = await self._context.transport.say_hello(address, request)
         except PeerUnreachableError as error:
-            logger.debug("peer does not answer", peer=peer.instance_id, why=str(error))
+            logger.debug("peer does not answer", address=address, why=str(error))
+            return
+        self._book.learn(answer.replicas)
+        answers[answer.instance_id] = answer
 
     async def _advance(self, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
         members = [a for a in answers.values() if a.phase == peers_pb2.PHASE_MEMBER]
         if members:
             await self._join(members)
             return
+        if self._context.settings.seeds:
+            await self._form_from_seeds(answers)
+            return
         peers = parse_peers(self._context.settings.peers)
         own_id = self._context.settings.instance_id
         if own_id not in {peer.instance_id for peer in peers}:
@@ -70,6 +87,62 @@
             return
         await self._form(peers, answers)
 
+    async def _form_from_seeds(self, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
+        """Form a cell of the replicas that were found, where it is on this one to do so."""
+        settings = self._context.settings
+        # All instances are given the same seeds at the first start, so one of them coordinates.
+        if not settings.may_form or settings.peer_address != min(self._book.seeds):
+            return
+        found = [answer for answer in answers.values() if answer.has_disk and answer.may_form]
+        if len(found) + 1 < settings.initial_voters:
+            self._settled_rounds = 0
+            return
+        self._settled_rounds += 1
+        if self._settled_rounds >= SETTLE_ROUNDS:
+            await self._form(self._choose_voters(found), answers)
+
+    def _choose_voters(self, found: list[peers_pb2.HelloAnswer]) -> list[Peer]:
+        """Return this replica and others, spread over the availability zones."""
+        settings = self._context.settings
+        chosen = [Peer(settings.instance_id, parse_address(settings.peer_address))]
+        per_zone = Counter([settings.availability_zone])
+        left = sorted(found, key=lambda answer: answer.address)
+        while left and len(chosen) < settings.initial_voters:
+            answer = min(left, key=lambda item: per_zone[item.availability_zone])
+            left.remove(answer)
+            per_zone[answer.availability_zone] += 1
+            chosen.append(Peer(answer.instance_id, parse_address(answer.address)))
+        return chosen
+
+    async def watch_membership(self) -> None:
+        """Ask to join again where no leader sends entries any more, until cancelled."""
+        context = self._context
+        while True:
+            await context.timers.sleep(REJOIN_CHECK_S)
+            silence_s = context.timers.now() - context.last_contact
+            is_cut_off = silence_s > REJOIN_SILENCE * context.election_timeout_s
+            if not is_cut_off or context.role is not Role.FOLLOWER:
+                continue
+            for answer in (await self._ask_peers()).values():
+                if answer.leads and await self._ask_to_join(answer.address):
+                    break
+
+    async def _ask_to_join(self, leader_address: str) -> bool:
+        context = self._context
+        request = peers_pb2.JoinRequest(
+            replica=cell_pb2.Voter(
+                replica_id=context.replica_id,
+                instance_id=context.settings.instance_id,
+                address=context.settings.peer_address,
+            )
+        )
+        try:
+            answer = await context.transport.join(leader_address, request)
+        except PeerUnreachableError as error:
+            logger.debug("join not answered", leader=leader_address, why=str(error))
+            return False
+        return answer.accepted
+
     async def _form(self, peers: list[Peer], answers: dict[str, peers_pb2.HelloAnswer]) -> None:
         """Agree on the cell id and the identities with every initial voter."""
         membership = self._make_membership(peers, answers)
@@ -136,13 +209,23 @@
     async def handle_hello(self, request: peers_pb2.HelloRequest) -> peers_pb2.HelloAnswer:
         """Tell who this is and whether it belongs to a cell."""
         context = self._context
+        settings = context.settings
+        self._book.learn([request.address])
+        members = (*context.membership.voters, *context.membership.learners)
+        self._book.learn(member.address for member in members)
         return peers_pb2.HelloAnswer(
-            instance_id=context.settings.instance_id,
+            instance_id=settings.instance_id,
             replica_id=context.replica_id,
             cell_id=context.membership.cell_id,
             phase=context.metadata.phase,
             leader_address=context.view.leader_address,
             has_disk=True,
+            replicas=self._book.others,
+            may_form=bool(settings.may_form),
+            availability_zone=settings.availability_zone,
+            leads=context.role is Role.LEADER,
+            is_voter=context.is_voter,
+            address=settings.peer_address,
         )
 
     async def handle_form(self, request: peers_pb2.FormRequest) -> peers_pb2.FormAnswer:
@@ -172,21 +255,8 @@
         if context.metadata.phase == peers_pb2.PHASE_FORMING and initial.cell_id == cell_id:
             await self._become_member(initial)
             return
-        request = peers_pb2.JoinRequest(
-            replica=cell_pb2.Voter(
-                replica_id=context.replica_id,
-                instance_id=context.settings.instance_id,
-                address=context.settings.peer_address,
-            )
-        )
         for member in members:
-            if not member.leader_address:
-                continue
-            try:
-                answer = await context.transport.join(member.leader_address, request)
-            except PeerUnreachableError:
-                continue
-            if answer.accepted:
-                await self._become_member(cell_pb2.Membership(cell_id=answer.cell_id))
-                logger.info("joined as a learner", cell=answer.cell_id)
+            if member.leader_address and await self._ask_to_join(member.leader_address):
+                await self._become_member(cell_pb2.Membership(cell_id=cell_id))
+                logger.info("joined as a learner", cell=cell_id)
                 return
--- a/src/dewspindle/_internal/replication/members.py
+++ b/src/dewspindle/_internal/replication/members.py
@@ -106,16 +106,43 @@
                 await self._promote(learner.instance_id)
                 logger.info("voter replaced", instance=learner.instance_id)
                 return
-            if self._is_silent(emptied[0]):
+            if self._is_silent(emptied[0], self._replica.context.election_timeout_s):
                 membership.voters.remove(emptied[0])
                 await self._replica.change_members(membership)
                 return
-
-    def _is_silent(self, voter: cell_pb2.Voter) -> bool:
+        await self._replace_silent(membership)
+
+    async def _replace_silent(self, membership: cell_pb2.Membership) -> None:
+        """Take one step towards a caught-up learner in the place of a voter that is gone."""
+        settings = self._replica.context.settings
+        if not settings.replace_silent_ms:
+            return
+        silent_s = settings.replace_silent_ms / 1000
+        voters = {voter.instance_id for voter in membership.voters}
+        spare = [
+            learner
+            for learner in membership.learners
+            if learner.instance_id not in voters
+            and self._is_caught_up(learner)
+            and not self._is_silent(learner, self._replica.context.election_timeout_s)
+        ]
+        if spare and len(membership.voters) < settings.initial_voters:
+            await self._promote(spare[0].instance_id)
+            logger.info("learner became a voter", instance=spare[0].instance_id)
+            return
+        gone = [voter for voter in membership.voters if self._is_silent(voter, silent_s)]
+        if spare and gone:
+            membership.voters.remove(gone[0])
+            await self._replica.change_members(membership)
+            logger.warning("silent voter removed", instance=gone[0].instance_id)
+
+    def _is_silent(self, voter: cell_pb2.Voter, seconds: float) -> bool:
         context = self._replica.context
+        if voter.replica_id == context.replica_id:
+            return False
         leadership = self._replica.leadership
         link = leadership.links.get(ReplicaId(voter.replica_id)) if leadership else None
         if link is None or leadership is None:
             return False
         heard_at = max(link.confirmed_at, leadership.started_at)
-        return context.timers.now() - heard_at > context.election_timeout_s
+        return context.timers.now() - heard_at > seconds
--- a/src/dewspindle/_internal/scheduling/scheduler.py
+++ b/src/dewspindle/_internal/scheduling/scheduler.py
@@ -2,6 +2,7 @@
 
 from ..cell.learning import get_need
 from ..cell.ledger import WorkerAccount
+from ..cell.listeners import StateListener
 from ..cell.view import CellView
 from ..exceptions import NotLeaderError, OutcomeUnknownError
 from ..models.enums import Priority
@@ -26,7 +27,7 @@
 logger = get_logger(__name__)
 
 
-class Scheduler:
+class Scheduler(StateListener):
     """Plans whenever something changed, one proposal in flight at a time."""
 
     def __init__(
--- a/src/dewspindle/_internal/settings/loading.py
+++ b/src/dewspindle/_internal/settings/loading.py
@@ -87,7 +87,11 @@
         raise InvalidSettingError(detail) from None
     for name in ("http_address", "operator_address", "peer_address"):
         _check_address(name, getattr(settings, name))
-    parse_peers(settings.peers)
+    if not settings.peers and not settings.seeds:
+        raise InvalidSettingError("--peers or --seeds must be given")
+    if settings.peers:
+        parse_peers(settings.peers)
+    parse_seeds(settings.seeds)
     _check_intervals(settings)
     _check_tls(settings)
     if settings.data_dir:
@@ -121,6 +125,14 @@
     return peers
 
 
+def parse_seeds(text: str) -> list[Address]:
+    """Parse `IP:PORT,...`; raise `InvalidSettingError` where it is anything else."""
+    try:
+        return [parse_address(item.strip()) for item in text.split(",") if item.strip()]
+    except ValueError as error:
+        raise InvalidSettingError(f"--seeds: {error}") from None
+
+
 def _check_intervals(settings: settings_pb2.Settings) -> None:
     if settings.leader_lease_ms >= settings.election_timeout_ms:
         raise InvalidSettingError(
--- a/src/dewspindle/_internal/utils/logs.py
+++ b/src/dewspindle/_internal/utils/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from enum import Enum
-from typing import Any, cast
+from typing import Any, TextIO, cast
 
 import structlog
 
@@ -15,7 +15,9 @@
     JSON = "json"
 
 
-def configure_logs(*, log_format: LogFormat, level: str, instance: str, zone: str) -> None:
+def configure_logs(
+    *, log_format: LogFormat, level: str, instance: str, zone: str, stream: TextIO | None = None
+) -> None:
     """Set the form and lowest level of all log lines, and what each line carries."""
     renderer: Any
     if log_format is LogFormat.JSON:
@@ -33,7 +35,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.bind_contextvars(instance=instance, zone=zone)
--- a/src/dewspindle/_internal/utils/refusals.py
+++ b/src/dewspindle/_internal/utils/refusals.py
@@ -17,6 +17,11 @@
     RECORD_ENDED = "record-ended"
     GANG_RUNNING = "gang-running"
     NOT_FOUND = "not-found"
+    # Jobs.
+    NO_QUEUE = "no-queue"
+    NO_SUCH_JOB = "no-such-job"
+    NOT_CONFIGURED = "not-configured"
+    NO_LEADER = "no-leader"
     # Calls.
     FENCED = "fenced"
     DRAINING = "draining"
@@ -44,3 +49,6 @@
     TASK_FAILED = "task-failed"
     WORKER_LOST = "worker-lost"
     PREEMPTED = "preempted"
+    ADVICE_FAILED = "advice-failed"
+    START_UNANSWERED = "start-unanswered"
+    START_REJECTED = "start-rejected"
--- a/src/dewspindle/_internal/workers/links.py
+++ b/src/dewspindle/_internal/workers/links.py
@@ -12,7 +12,7 @@
 from ..models.resources import NOTHING, Amounts, make_amounts
 from ..models.tasks import HOLDING_STATES
 from ..replication.replica import Replica
-from ..schema import cell_pb2, documents_pb2, settings_pb2
+from ..schema import cell_pb2, documents_pb2, resources_pb2, settings_pb2
 from ..schema.cell_pb2 import TASK_PLACED, TASK_RUNNING
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
@@ -127,7 +127,7 @@
             zone=poll.zone,
             rack=poll.rack,
             session=poll.session,
-            capacity=cell_pb2.Resources(
+            capacity=resources_pb2.Resources(
                 processors=poll.capacity.processors,
                 memory_mb=poll.capacity.memory_mb,
                 accelerators=poll.capacity.accelerators,
