Keep inherited work back until its ends are committed

Cause: a new leader counted a worker as known once its lists were read, before the ends in them were committed. Ruled out: adoption of running members (the workers listed ends only), lapsed leases. Change: a worker counts as known after its ends are committed and settled; stand-in workers, advisor and 27 fault scenarios over fakes that need no bench.

--- /dev/null
+++ b/features/job_faults.feature
@@ -0,0 +1,84 @@
+Feature: Jobs of several steps run once, in order, within what workers have, under every fault
+
+  Scenario Outline: <fault> hits the <victim> <step>
+    Given a cell of 3 replicas that calls 6 workers
+    And jobs with dependent steps, a gang, checkpoints and a task that fails once
+    When <fault> hits the <victim> at a task's <step>
+    And 8 seconds pass, the faults end, and 40 more pass
+    Then every accepted job succeeded
+
+    Examples: the leader
+      | fault             | victim | step  |
+      | kill              | leader | start |
+      | kill              | leader | end   |
+      | pause             | leader | start |
+      | pause             | leader | end   |
+      | two-way partition | leader | start |
+      | two-way partition | leader | end   |
+
+    Examples: a worker
+      | fault          | victim | step  |
+      | crash          | worker | start |
+      | crash          | worker | end   |
+      | cut off        | worker | start |
+      | cut off        | worker | end   |
+      | freeze         | worker | start |
+      | lost answers   | worker | start |
+      | lost answers   | worker | end   |
+      | late orders    | worker | start |
+      | late orders    | worker | end   |
+      | drain          | worker | start |
+      | failing        | worker | start |
+
+    Examples: both at once
+      | fault                    | victim | step  |
+      | late orders, leader kill | worker | start |
+      | cut off, leader kill     | worker | start |
+      | cut off, leader kill     | worker | end   |
+      | lost answers, leader pause | worker | start |
+
+  Scenario: A job that fails as often as its queue allows ends as failed
+    Given a cell of 3 replicas that calls 6 workers
+    And a job whose task fails 5 times
+    When 20 seconds of jobs pass
+    Then the job failed after 3 attempts
+
+  Scenario: A cancelled job stops in time and starts nothing any more
+    Given a cell of 3 replicas that calls 6 workers
+    And a job of 10 tasks of 30 seconds
+    When 2 seconds of jobs pass
+    And the job is cancelled and 2 seconds pass
+    Then nothing of it runs and it is shown as cancelled
+
+  Scenario: Tasks start only where the advisor approves
+    Given a cell of 3 replicas that calls 6 workers
+    And an advisor that approves 2 workers
+    And a gang of 4 tasks of 2 seconds
+    When 10 seconds of jobs pass
+    Then every accepted job succeeded
+    And only the approved workers ran tasks
+
+  Scenario: An advisor that is down for a while delays jobs and loses none
+    Given a cell of 3 replicas that calls 6 workers
+    And an advisor that approves 2 workers
+    And the advisor is down
+    And a gang of 4 tasks of 2 seconds
+    When 5 seconds of jobs pass
+    And the advisor is back
+    And 10 seconds of jobs pass
+    Then every accepted job succeeded
+
+  Scenario: A wide gang is not starved by a stream of small tasks
+    Given a cell of 3 replicas that calls 4 workers
+    And a stream of 200 small jobs over 20 seconds
+    And a gang that needs every worker whole
+    When 30 seconds of jobs pass
+    Then every accepted job succeeded
+
+  Scenario: The submission of a job is acknowledged once, whatever is sent again
+    Given a cell of 3 replicas that calls 6 workers
+    And a job of 3 tasks of 1 seconds
+    When the job is submitted 3 more times
+    And 5 seconds of jobs pass
+    Then every accepted job succeeded
+    And each task started once
--- /dev/null
+++ b/features/lib/called_fleet.py
@@ -0,0 +1,418 @@
+"""Stand-in workers that are called, an advisor, and the checks of what must hold on them."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from dewspindle._internal.jobs.gateway import (
+    ActiveTask,
+    EndedTask,
+    HoldAnswer,
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+    WorkerEndpoint,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
+from dewspindle._internal.models.jobs import TaskRef
+from dewspindle._internal.models.resources import Amounts, make_amounts
+from dewspindle._internal.schema import jobs_pb2, peers_pb2
+
+from .clock import ManualClock, ManualTimerService
+
+CAPACITY = Amounts(processors=8000, memory_mb=16384)
+TICK_S = 0.02
+STOP_S = 0.3
+LATENCY_S = 0.003
+BEAT_INTERVAL_S = 1.5
+LATE_ORDER_S = 4.0
+
+
+@dataclass
+class Run:
+    """One attempt that a worker runs."""
+
+    attempt: int
+    started_at: float
+    token: int
+    ends_at: float = float("inf")
+    kind: int = jobs_pb2.END_DONE
+    stops_at: float = float("inf")
+    checkpoint: str = ""
+
+
+@dataclass
+class Plan:
+    """How the tasks of a job behave."""
+
+    spec: jobs_pb2.JobSpec
+    run_s: float = 1.0
+    failures: int = 0  # Attempts of each task that fail.
+
+
+class CalledWorker:
+    """One worker as the leader sees it over the wire."""
+
+    def __init__(self, fleet: "CalledFleet", number: int, *, generation: int = 0) -> None:
+        self.fleet = fleet
+        self.number = number
+        self.id = f"w{number}-{generation}"
+        self.address = f"10.0.0.{number + 1}:80"
+        self.timers = ManualTimerService(fleet.clock)
+        self.is_cut_off = False
+        self.loses_answers = False
+        self.delays_orders = False
+        self.fails_everything = False
+        self.is_draining = False
+        self.is_up = True
+        self.runs: dict[TaskRef, Run] = {}
+        self.ended: list[EndedTask] = []
+        self.highest: dict[TaskRef, int] = {}
+        self.token = 0
+        self.acknowledged = 0
+        self.deadline_ms = 0
+        self._numbers = 0
+        self._changed = anyio.Event()
+
+    @property
+    def clock_ms(self) -> int:
+        return int((self.timers.now() - 1000 + self.number) * 1000)
+
+    def tick(self) -> None:
+        """End what is due."""
+        now = self.timers.now()
+        if self.clock_ms >= self.deadline_ms:
+            self.fleet.forgive_ends(self)
+            for task in list(self.runs):
+                self._end(task, jobs_pb2.END_LAPSED)
+        for task, run in list(self.runs.items()):
+            if task not in self.runs:
+                continue
+            if now >= run.stops_at:
+                self._end(task, jobs_pb2.END_STOPPED)
+            elif now >= run.ends_at:
+                self._end(task, run.kind)
+
+    def _end(self, task: TaskRef, kind: int) -> None:
+        run = self.runs.pop(task)
+        self._numbers += 1
+        self.highest[task] = max(self.highest.get(task, 0), run.attempt)
+        self.ended.append(
+            EndedTask(self._numbers, task, run.attempt, kind, run.checkpoint)  # type: ignore[arg-type]
+        )
+        self.fleet.note_end(self, task, run, kind)
+        event, self._changed = self._changed, anyio.Event()
+        event.set()
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        self.tick()
+        if order.fencing_token < self.token:
+            return OrderAnswer(OrderOutcome.FENCED, self.clock_ms)
+        self.token = order.fencing_token
+        if order.deadline_ms <= self.clock_ms:
+            return OrderAnswer(OrderOutcome.LATE, self.clock_ms)
+        self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+        running = self.runs.get(order.task)
+        if running is not None and running.attempt == order.attempt:
+            return OrderAnswer(OrderOutcome.ACCEPTED, self.clock_ms)
+        if running is not None or order.attempt <= self.highest.get(order.task, 0):
+            return OrderAnswer(OrderOutcome.SUPERSEDED, self.clock_ms)
+        run = Run(order.attempt, self.timers.now(), order.fencing_token)
+        self.runs[order.task] = run
+        self.fleet.note_start(self, order, run)
+        return OrderAnswer(OrderOutcome.ACCEPTED, self.clock_ms)
+
+    def stop(self, order: StopOrder) -> OrderAnswer:
+        self.tick()
+        if order.fencing_token < self.token:
+            return OrderAnswer(OrderOutcome.FENCED, self.clock_ms)
+        self.token = order.fencing_token
+        self.highest[order.task] = max(self.highest.get(order.task, 0), order.attempt)
+        run = self.runs.get(order.task)
+        if run is not None and run.attempt <= order.attempt:
+            run.stops_at = min(run.stops_at, self.timers.now() + STOP_S)
+        return OrderAnswer(OrderOutcome.ACCEPTED, self.clock_ms)
+
+    async def hold(self, order: HoldOrder) -> HoldAnswer:
+        self.tick()
+        if order.fencing_token < self.token:
+            return HoldAnswer(OrderOutcome.FENCED, self.clock_ms, [], [], is_cut_short=True)
+        self.token = order.fencing_token
+        if order.deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+        self.acknowledged = max(self.acknowledged, order.ack_cursor)
+        self.ended = [ended for ended in self.ended if ended.number > self.acknowledged]
+        if not self.ended and order.wait_ms:
+            changed = self._changed
+            try:
+                with self.timers.fail_after(order.wait_ms / 1000):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        active = [ActiveTask(task, r.attempt, r.checkpoint, 0) for task, r in self.runs.items()]
+        return HoldAnswer(
+            OrderOutcome.ACCEPTED, self.clock_ms, active, list(self.ended), is_cut_short=False
+        )
+
+    def crash(self) -> None:
+        """Lose everything; another incarnation may come."""
+        self.is_up = False
+        self.runs.clear()
+        self.fleet.forgive_ends(self)
+
+
+class FakeGateway:
+    """Carries one node's calls to the workers."""
+
+    def __init__(self, fleet: "CalledFleet", timers: ManualTimerService) -> None:
+        self._fleet = fleet
+        self._timers = timers
+
+    async def start(
+        self, worker: WorkerEndpoint, order: StartOrder, *, timeout_s: float
+    ) -> OrderAnswer:
+        answer = await self._carry(worker, lambda w: w.start(order), timeout_s)
+        assert isinstance(answer, OrderAnswer)
+        return answer
+
+    async def stop(
+        self, worker: WorkerEndpoint, order: StopOrder, *, timeout_s: float
+    ) -> OrderAnswer:
+        answer = await self._carry(worker, lambda w: w.stop(order), timeout_s)
+        assert isinstance(answer, OrderAnswer)
+        return answer
+
+    async def hold(
+        self, worker: WorkerEndpoint, order: HoldOrder, *, timeout_s: float
+    ) -> HoldAnswer:
+        answer = await self._carry(worker, lambda w: w.hold(order), timeout_s)
+        assert isinstance(answer, HoldAnswer)
+        return answer
+
+    async def _carry(
+        self, endpoint: WorkerEndpoint, call: Callable[[CalledWorker], Any], timeout_s: float
+    ) -> Any:
+        try:
+            with self._timers.fail_after(timeout_s):
+                return await self._deliver(endpoint, call)
+        except TimeoutError:
+            raise WorkerUnreachableError("no answer in time") from None
+
+    async def _deliver(self, endpoint: WorkerEndpoint, call: Callable[[CalledWorker], Any]) -> Any:
+        clock = self._fleet.timers
+        await clock.sleep(LATENCY_S)
+        worker = self._fleet.find(endpoint)
+        if worker.delays_orders:
+            self._fleet.cell.start_soon(self._fleet.deliver_late, worker, call)
+            await clock.sleep(60)
+        while worker.timers.is_paused:
+            await clock.sleep(TICK_S)
+        answer = call(worker)
+        if not isinstance(answer, OrderAnswer):
+            answer = await answer
+        if worker.loses_answers or worker.is_cut_off or not worker.is_up:
+            await clock.sleep(60)
+        await clock.sleep(LATENCY_S)
+        while self._timers.is_paused:
+            await clock.sleep(TICK_S)
+        return answer
+
+
+@dataclass
+class Broken:
+    """What must hold and did not."""
+
+    rules: list[str] = field(default_factory=list)
+
+
+class CalledFleet:
+    """All workers, what ran on them, and the checks."""
+
+    def __init__(self, cell: Any, *, size: int) -> None:
+        self.cell = cell
+        self.clock: ManualClock = cell.clock
+        self.timers = ManualTimerService(self.clock)
+        self.workers = [CalledWorker(self, number) for number in range(size)]
+        self.plans: dict[str, Plan] = {}
+        self.starts: dict[TaskRef, list[tuple[str, int]]] = defaultdict(list)
+        self.done: set[TaskRef] = set()  # Must not start again.
+        self.ever_done: set[TaskRef] = set()
+        self.failed: dict[TaskRef, int] = defaultdict(int)
+        self.broken = Broken()
+        self.hooks: list[Callable[[str, CalledWorker, TaskRef], None]] = []
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled_at: dict[str, float] = {}
+        self._beats = 0
+        self.clock.add_check(self.check)
+
+    def gateway(self, timers: ManualTimerService) -> FakeGateway:
+        return FakeGateway(self, timers)
+
+    def find(self, endpoint: WorkerEndpoint) -> CalledWorker:
+        for worker in self.workers:
+            if worker.address == endpoint.address and worker.is_up:
+                if worker.id != endpoint.id:
+                    raise WorkerReplacedError(worker.id)
+                if worker.is_cut_off:
+                    break
+                return worker
+        raise WorkerUnreachableError("cut off or down")
+
+    async def deliver_late(self, worker: CalledWorker, call: Callable[[CalledWorker], Any]) -> None:
+        """Carry out an order after its sender has given up."""
+        await self.timers.sleep(LATE_ORDER_S)
+        answer = call(worker)
+        if not isinstance(answer, OrderAnswer):
+            answer.close()
+
+    def start(self) -> None:
+        self.cell.start_soon(self._run_workers)
+        self.cell.start_soon(self._send_beats)
+
+    async def _run_workers(self) -> None:
+        while True:
+            await self.timers.sleep(TICK_S)
+            for worker in self.workers:
+                if worker.is_up and not worker.timers.is_paused:
+                    worker.tick()
+
+    async def _send_beats(self) -> None:
+        while True:
+            self._beats += 1
+            for worker in list(self.workers):
+                if worker.is_up and not worker.is_cut_off and not worker.timers.is_paused:
+                    self.cell.start_soon(self.send_beat, worker)
+            await self.timers.sleep(BEAT_INTERVAL_S)
+
+    async def send_beat(self, worker: CalledWorker) -> None:
+        """Announce a worker to whichever node leads."""
+        beat = peers_pb2.WorkerBeat(
+            worker=jobs_pb2.CalledWorker(
+                id=worker.id,
+                pool="pool",
+                address=worker.address,
+                capacity=CAPACITY.to_message(),
+            ),
+            draining=worker.is_draining,
+            remaining_ms=1000,
+            clock_ms=worker.clock_ms,
+            sequence=self._beats,
+        )
+        leader = self.cell.leader
+        if leader is not None and leader.job_duties.dispatcher is not None:
+            try:
+                await leader.job_duties.dispatcher.take_beat(beat)
+            except Exception as error:  # A leader that is lost answers nothing.
+                self.cell.errors.append(error)
+
+    def replace(self, worker: CalledWorker) -> CalledWorker:
+        """Start another incarnation at a worker's address."""
+        worker.crash()
+        self.workers.remove(worker)
+        generation = int(worker.id.rpartition("-")[2]) + 1
+        successor = CalledWorker(self, worker.number, generation=generation)
+        self.workers.append(successor)
+        return successor
+
+    def note_start(self, worker: CalledWorker, order: StartOrder, run: Run) -> None:
+        task = order.task
+        plan = self.plans[task.job]
+        self._check_start(worker, order)
+        self.starts[task].append((worker.id, order.attempt))
+        step = plan.spec.steps[task.step]
+        if worker.fails_everything:
+            run.ends_at, run.kind = run.started_at + 0.1, jobs_pb2.END_FAILED
+        elif step.gang:
+            self._start_gang(task, order.attempt, plan, step.count)
+        elif not step.long_running:
+            is_failing = self.failed[task] < plan.failures
+            run.ends_at = run.started_at + plan.run_s
+            run.kind = jobs_pb2.END_FAILED if is_failing else jobs_pb2.END_DONE
+        for hook in list(self.hooks):
+            hook("start", worker, task)
+
+    def _start_gang(self, task: TaskRef, attempt: int, plan: Plan, size: int) -> None:
+        members = [
+            run
+            for worker in self.workers
+            for other, run in worker.runs.items()
+            if (other.job, other.occurrence, other.step) == (task.job, task.occurrence, task.step)
+            and run.attempt == attempt
+        ]
+        if len(members) == size:
+            for run in members:
+                run.ends_at = self.timers.now() + plan.run_s
+
+    def _check_start(self, worker: CalledWorker, order: StartOrder) -> None:
+        task = order.task
+        plan = self.plans[task.job]
+        if task in self.done:
+            self._break("TWICE", f"{task} starts after its end was done")
+        if order.payload != plan.spec.payload:
+            self._break("UNASKED", f"{task} starts with another payload")
+        if task.job in self.refused and task.job not in self.accepted:
+            self._break("REFUSED", f"{task} starts though its job was refused")
+        cancelled_at = self.cancelled_at.get(task.job)
+        if cancelled_at is not None and self.timers.now() > cancelled_at + 3:
+            self._break("UNASKED", f"{task} starts long after its job was cancelled")
+        for earlier in plan.spec.steps[task.step].depends_on:
+            for index in range(plan.spec.steps[earlier].count):
+                if TaskRef(task.job, task.occurrence, earlier, index) not in self.ever_done:
+                    self._break("ORDER", f"{task} starts before step {earlier} is done")
+                    return
+
+    def note_end(self, worker: CalledWorker, task: TaskRef, run: Run, kind: int) -> None:
+        if kind == jobs_pb2.END_DONE:
+            self.done.add(task)
+            self.ever_done.add(task)
+        if kind == jobs_pb2.END_FAILED:
+            self.failed[task] += 1
+        step = self.plans[task.job].spec.steps[task.step]
+        if step.gang and kind != jobs_pb2.END_DONE:
+            self._break_gang(task, run.attempt)
+        for hook in list(self.hooks):
+            hook("end", worker, task)
+
+    def forgive_ends(self, worker: CalledWorker) -> None:
+        """Allow tasks to run again whose end nobody took note of while the lease held."""
+        for ended in worker.ended:
+            if ended.kind == jobs_pb2.END_DONE:
+                self.done.discard(ended.task)
+
+    def _break_gang(self, task: TaskRef, attempt: int) -> None:
+        for worker in self.workers:
+            for other, run in worker.runs.items():
+                same = (other.job, other.occurrence, other.step) == (
+                    task.job,
+                    task.occurrence,
+                    task.step,
+                )
+                if same and run.attempt == attempt and run.ends_at > self.timers.now():
+                    run.ends_at, run.kind = self.timers.now(), jobs_pb2.END_BROKEN
+
+    def _break(self, rule: str, what: str) -> None:
+        self.broken.rules.append(f"{rule} at {self.timers.now():.2f}: {what}")
+
+    def check(self) -> None:
+        """Check what must hold at every moment."""
+        running: dict[TaskRef, list[str]] = defaultdict(list)
+        for worker in self.workers:
+            used = Amounts()
+            # A frozen worker has not ended its tasks yet, but nothing of them goes on.
+            is_lapsed = worker.clock_ms >= worker.deadline_ms
+            for task in () if is_lapsed else worker.runs:
+                running[task].append(worker.id)
+                used += make_amounts(self.plans[task.job].spec.steps[task.step].resources)
+            if not used.fits_in(CAPACITY):
+                self._break("LIMIT", f"{worker.id} runs {used}")
+        for task, where in running.items():
+            if len(where) > 1:
+                self._break("TWICE", f"{task} runs on {where}")
+        assert not self.broken.rules, self.broken.rules[:3]
--- /dev/null
+++ b/features/lib/job_cell.py
@@ -0,0 +1,149 @@
+"""Replicas that run jobs, over fakes."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from dewspindle._internal.exceptions import NotLeaderError, OutcomeUnknownError
+from dewspindle._internal.jobs.dispatcher import DispatchLimits
+from dewspindle._internal.jobs.duties import JobDuties
+from dewspindle._internal.replication.formation import Formation
+from dewspindle._internal.replication.replica import Replica
+from dewspindle._internal.replication.transport import PeerUnreachableError
+from dewspindle._internal.schema import cell_pb2, jobs_pb2, peers_pb2
+from dewspindle._internal.utils.metrics import Metrics
+
+from .called_fleet import CalledFleet, Plan
+from .replicas import Node, ReplicaCell
+
+HOST = "jobs.example"
+PREFIX = "/queue/"
+LEASE_S = 4.0
+ADVICE_S = 0.05
+VALIDITY_MS = 2000
+
+
+class JobNode(Node):
+    """One replica with the dispatcher of jobs in the place of the scheduler of records."""
+
+    cell: "JobCell"
+
+    def _attach(self, replica: Replica, formation: Formation) -> None:
+        super()._attach(replica, formation)
+        self.job_duties = JobDuties(
+            settings=replica.context.settings,
+            replica=replica,
+            view=replica.context.view,
+            gateway=self.cell.fleet.gateway(self.timers),
+            advise=self._advise,
+            list_helpers=lambda: [self.address],
+            limits=DispatchLimits(lease_s=LEASE_S, keep_ended_ms=120_000),
+            timers=self.timers,
+            metrics=Metrics(instance=self.name, zone="z"),
+        )
+
+    def _list_runs(self) -> list[Callable[[], Any]]:
+        assert self.replica is not None
+        return [self.replica.run, self.job_duties.run]
+
+    async def _advise(
+        self, helper: str, request: peers_pb2.AdviseRequest
+    ) -> peers_pb2.AdviseAnswer:
+        self.cell.advice_calls.append(request)
+        await self.timers.sleep(ADVICE_S)
+        if self.cell.advisor_fails:
+            raise PeerUnreachableError("the advisor is down")
+        answer = peers_pb2.AdviseAnswer(validity_ms=VALIDITY_MS)
+        for worker in request.workers:
+            if worker.partition("-")[0] in self.cell.approved:
+                answer.approvals.add(worker=worker, ticket=f"ticket-{worker}")
+        return answer
+
+
+class JobCell(ReplicaCell):
+    """Replicas, the workers they call, and a caller."""
+
+    node_class = JobNode
+
+    def __init__(self, folder: Path, *, size: int, seed: int, workers: int, **flags: str) -> None:
+        super().__init__(folder, size=size, seed=seed, **flags)
+        self.errors: list[BaseException] = []
+        self.advice_calls: list[peers_pb2.AdviseRequest] = []
+        self.advisor_fails = False
+        self.approved: set[str] = set()
+        self.fleet = CalledFleet(self, size=workers)
+        self.advisor: jobs_pb2.Advisor | None = None
+
+    async def configure(self, *, max_attempts: int = 3) -> None:
+        """Put a table with one queue in force."""
+        queue = jobs_pb2.Queue(
+            name="queue",
+            host=HOST,
+            path_prefix=PREFIX,
+            pool="pool",
+            max_attempts=max_attempts,
+            slack_factor=2.0,
+            aim_ms=500,
+            timeout_ms=3000,
+        )
+        if self.advisor is not None:
+            queue.advisor.CopyFrom(self.advisor)
+        table = jobs_pb2.QueueTable(version=1, queues=[queue], pools=[jobs_pb2.Pool(name="pool")])
+        node = self.leader
+        assert node is not None
+        assert node.replica is not None
+        await node.replica.propose(cell_pb2.Command(queue_table=table))
+
+    async def ask(
+        self, call: peers_pb2.JobCall.ValueType, job_id: str, *, seconds: float = 40.0
+    ) -> peers_pb2.JobAnswer | None:
+        """Send a request until it gets a clear answer; None where it gets none in time."""
+        request = peers_pb2.JobRequest(call=call, host=HOST, path=PREFIX + job_id)
+        if call == peers_pb2.JOB_SUBMIT:
+            request.spec.CopyFrom(self.fleet.plans[job_id].spec)
+        relayed = peers_pb2.RelayJobsRequest(requests=[request])
+        deadline = self.clock.now + seconds
+        while self.clock.now < deadline:
+            leader = self.leader
+            if isinstance(leader, JobNode):
+                try:
+                    answers = await leader.job_duties._relay_jobs(relayed)
+                except (NotLeaderError, OutcomeUnknownError):
+                    await self.fleet.timers.sleep(0.1)
+                    continue
+                return answers.answers[0]
+            await self.fleet.timers.sleep(0.1)
+        return None
+
+    async def submit(self, job_id: str, plan: Plan) -> None:
+        """Hand a job in, and keep what became of it."""
+        self.fleet.plans[job_id] = plan
+        answer = await self.ask(peers_pb2.JOB_SUBMIT, job_id)
+        if answer is None:
+            self.unknown.add(job_id)
+        elif answer.status == 200:
+            self.fleet.accepted.add(job_id)
+        else:
+            self.fleet.refused.add(job_id)
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancel a job, and keep when that was acknowledged."""
+        answer = await self.ask(peers_pb2.JOB_CANCEL, job_id)
+        if answer is not None and answer.status == 200:
+            self.fleet.cancelled_at[job_id] = self.clock.now
+
+    def get_state(self, job_id: str) -> int | None:
+        """Return the state of a job at the leader."""
+        leader = self.leader
+        if leader is None or leader.replica is None:
+            return None
+        job = leader.replica.context.view.state.job_store.jobs.get(job_id)  # type: ignore[call-overload]
+        return None if job is None else job.message.state
+
+    def list_unfinished(self) -> list[str]:
+        """Return the accepted jobs that have not ended."""
+        return [
+            job_id
+            for job_id in sorted(self.fleet.accepted)
+            if self.get_state(job_id) in (None, jobs_pb2.JOB_OPEN)
+        ]
--- a/features/lib/replicas.py
+++ b/features/lib/replicas.py
@@ -70,7 +70,7 @@
                 "instance_id": self.name,
                 "availability_zone": "z",
                 "peer_address": self.address,
-                "peers": self.cell.peers,
+                **self.cell.node_flags,
                 "data_dir": str(self.folder),
                 "operator_token": "t",
                 **self._flags,
@@ -118,6 +118,11 @@
             self.timers,
         )
 
+    def _list_runs(self) -> list[Callable[[], Any]]:
+        """Return what runs once the node is a member."""
+        assert self.replica is not None
+        return [self.replica.run, self.duties.run]
+
     async def _run(self) -> None:
         assert self.formation is not None
         assert self.replica is not None
@@ -127,8 +132,8 @@
             with scope:
                 await self.formation.run()
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self.replica.run)
-                    group.start_soon(self.duties.run)
+                    for run in self._list_runs():
+                        group.start_soon(run)
         except BaseExceptionGroup as error:
             self.failure = error
             self._stop_serving()
@@ -165,6 +170,8 @@
 class ReplicaCell:
     """Several nodes, a client, and the checks of what must hold."""
 
+    node_class: type[Node] = Node
+
     def __init__(self, folder: Path, *, size: int, seed: int, **flags: str) -> None:
         self.folder = folder
         self.seed = seed
@@ -175,9 +182,11 @@
         names = [f"n{number}" for number in range(size)]
         self.peers = ",".join(f"{n}@127.0.0.1:{7000 + i}" for i, n in enumerate(names))
         self.nodes = [
-            Node(self, name, f"127.0.0.1:{7000 + i}", **flags) for i, name in enumerate(names)
+            self.node_class(self, name, f"127.0.0.1:{7000 + i}", **flags)
+            for i, name in enumerate(names)
         ]
         self._flags = flags
+        self.node_flags = {"peers": self.peers}
         self.acknowledged: dict[str, cell_pb2.Result] = {}
         self.unknown: set[str] = set()
         self._committed: dict[int, tuple[int, bytes]] = {}
@@ -191,6 +200,9 @@
             group.cancel_scope.cancel()
 
     def stop(self) -> None:
+        for node in self.nodes:
+            if node.timers.is_paused:
+                node.timers.go_on()
         self._stop.set()
 
     def start_soon(self, run: Callable[..., Any], *args: Any) -> None:
@@ -198,7 +210,7 @@
 
     def add_node(self) -> Node:
         number = len(self.nodes)
-        node = Node(self, f"n{number}", f"127.0.0.1:{7000 + number}", **self._flags)
+        node = self.node_class(self, f"n{number}", f"127.0.0.1:{7000 + number}", **self._flags)
         self.nodes.append(node)
         return node
 
--- /dev/null
+++ b/features/steps/job_steps.py
@@ -0,0 +1,245 @@
+from behave import given, then, when
+
+from dewspindle._internal.schema import jobs_pb2, resources_pb2
+from features.lib.called_fleet import Plan
+from features.lib.job_cell import JobCell
+from features.steps.replication_steps import FAULTS, host_cell, start_cell
+
+FLAGS = {"election_timeout_ms": "500", "leader_lease_ms": "400", "heartbeat_interval_ms": "100"}
+SETTLE_S = 3.0
+
+
+def make_step(count, *, processors=1000, **more):
+    resources = resources_pb2.Resources(processors=processors, memory_mb=1024)
+    return jobs_pb2.JobStep(count=count, resources=resources, estimate_ms=1000, **more)
+
+
+def make_plan(*steps, run_s=1.0, failures=0):
+    spec = jobs_pb2.JobSpec(payload="payload", steps=steps)
+    return Plan(spec, run_s=run_s, failures=failures)
+
+
+def launch(context, call, *args):
+    """Start a task of the cell from a step."""
+
+    async def go():
+        context.cell.start_soon(call, *args)
+
+    context.run(go())
+
+
+def take_job_id(context):
+    context.jobs += 1
+    context.last_job = f"{context.jobs:016x}"
+    return context.last_job
+
+
+def add_job(context, plan):
+    launch(context, context.cell.submit, take_job_id(context), plan)
+
+
+@given("a cell of {replicas:d} replicas that calls {workers:d} workers")
+def given_cell(context, replicas, workers):
+    cell = JobCell(context.folder, size=replicas, seed=1, workers=workers, **FLAGS)
+    host_cell(context, cell)
+    context.jobs = 0
+
+    async def prepare():
+        await start_cell(cell)
+        cell.fleet.start()
+        cell.start_soon(cell.configure)
+        await cell.clock.advance(SETTLE_S)
+
+    context.run(prepare())
+
+
+@given("jobs with dependent steps, a gang, checkpoints and a task that fails once")
+def given_jobs(context):
+    add_job(context, make_plan(make_step(4), make_step(3, depends_on=[0])))
+    add_job(context, make_plan(make_step(6, gang=True), run_s=1.5))
+    add_job(context, make_plan(make_step(8, checkpointing=True), run_s=2.5))
+    add_job(context, make_plan(make_step(2), failures=1))
+
+
+@given("a job whose task fails {count:d} times")
+def given_failing(context, count):
+    add_job(context, make_plan(make_step(1), failures=count, run_s=0.2))
+
+
+@given("a job of {count:d} tasks of {seconds:d} seconds")
+def given_job(context, count, seconds):
+    add_job(context, make_plan(make_step(count), run_s=seconds))
+
+
+@given("a gang of {count:d} tasks of {seconds:d} seconds")
+def given_gang(context, count, seconds):
+    add_job(context, make_plan(make_step(count, gang=True), run_s=seconds))
+
+
+@given("a gang that needs every worker whole")
+def given_wide_gang(context):
+    size = len(context.cell.fleet.workers)
+    add_job(context, make_plan(make_step(size, gang=True, processors=8000), run_s=2.0))
+
+
+@given("a stream of {count:d} small jobs over {seconds:d} seconds")
+def given_stream(context, count, seconds):
+    async def send():
+        for _ in range(count):
+            plan = make_plan(make_step(2), run_s=1.0)
+            context.cell.start_soon(context.cell.submit, take_job_id(context), plan)
+            await context.cell.fleet.timers.sleep(seconds / count)
+
+    launch(context, send)
+
+
+@given("an advisor that approves {count:d} workers")
+def given_advisor(context, count):
+    cell = context.cell
+    cell.approved = {f"w{number}" for number in range(count)}
+    advisor = jobs_pb2.Advisor(decision_ms=50, per_worker_ms=1, validity_ms=2000)
+
+    async def put():
+        leader = cell.leader
+        table = leader.replica.context.view.state.job_store.queue_table
+        for queue in table.queues:
+            queue.advisor.CopyFrom(advisor)
+
+    context.run(put())
+
+
+@given("the advisor is down")
+def given_advisor_down(context):
+    context.cell.advisor_fails = True
+
+
+@when("the advisor is back")
+def when_advisor_back(context):
+    context.cell.advisor_fails = False
+
+
+def hit_worker(context, fault, worker):
+    if fault == "crash":
+        context.cell.fleet.replace(worker)
+    elif fault == "cut off":
+        worker.is_cut_off = True
+    elif fault == "freeze":
+        worker.timers.pause()
+    elif fault == "lost answers":
+        worker.loses_answers = True
+    elif fault == "late orders":
+        worker.delays_orders = True
+    elif fault == "drain":
+        worker.is_draining = True
+        context.cell.start_soon(context.cell.fleet.send_beat, worker)
+    elif fault == "failing":
+        worker.fails_everything = True
+    elif fault.startswith("leader "):
+        FAULTS[fault.removeprefix("leader ")](context.cell, context.cell.leader)
+    else:
+        raise AssertionError(fault)
+
+
+@when("{fault} hits the {victim} at a task's {step}")
+def when_strikes(context, fault, victim, step):
+    context.struck = []
+    cell = context.cell
+
+    def strike(worker):
+        if victim == "leader":
+            FAULTS[fault](cell, cell.leader)
+            return
+        for part in fault.split(", "):
+            hit_worker(context, part, worker)
+
+    def hook(what, worker, task):
+        if what == step and not context.struck:
+            context.struck.append(worker.id)
+            cell.start_soon(strike_later, worker)
+
+    async def strike_later(worker):
+        strike(worker)
+
+    cell.fleet.hooks.append(hook)
+    context.run(cell.clock.advance(3))
+    assert context.struck, "the fault never struck"
+
+
+@when("{first:d} seconds pass, the faults end, and {second:d} more pass")
+def when_faults_end(context, first, second):
+    cell = context.cell
+
+    async def heal():
+        for worker in cell.fleet.workers:
+            worker.is_cut_off = worker.loses_answers = worker.delays_orders = False
+            worker.fails_everything = False
+            if worker.timers.is_paused:
+                worker.timers.go_on()
+        cell.heal()
+
+    context.run(cell.clock.advance(first))
+    context.run(heal())
+    for _ in range(second // 10):
+        context.run(cell.clock.advance(10))
+
+
+@when("{seconds:d} seconds of jobs pass")
+def when_seconds_pass(context, seconds):
+    for _ in range(max(1, seconds // 5)):
+        context.run(context.cell.clock.advance(min(5, seconds)))
+
+
+@when("the job is cancelled and {seconds:d} seconds pass")
+def when_cancelled(context, seconds):
+    launch(context, context.cell.cancel, context.last_job)
+    context.run(context.cell.clock.advance(seconds))
+
+
+@when("the job is submitted {count:d} more times")
+def when_submitted_again(context, count):
+    cell = context.cell
+    plan = cell.fleet.plans[context.last_job]
+    for _ in range(count):
+        launch(context, cell.submit, context.last_job, plan)
+    context.run(cell.clock.advance(0.5))
+
+
+@then("every accepted job succeeded")
+def then_all_succeeded(context):
+    cell = context.cell
+    assert cell.fleet.accepted, "no job was accepted"
+    assert not cell.unknown, f"never answered: {cell.unknown}"
+    states = {job: cell.get_state(job) for job in cell.fleet.accepted}
+    wrong = {job: s for job, s in states.items() if s != jobs_pb2.JOB_SUCCEEDED}
+    assert not wrong, wrong
+
+
+@then("the job failed after {count:d} attempts")
+def then_failed(context, count):
+    assert context.cell.get_state(context.last_job) == jobs_pb2.JOB_FAILED
+    starts = list(context.cell.fleet.starts.values())
+    assert [len(items) for items in starts] == [count], starts
+
+
+@then("nothing of it runs and it is shown as cancelled")
+def then_cancelled(context):
+    cell = context.cell
+    assert cell.get_state(context.last_job) == jobs_pb2.JOB_CANCELLED
+    running = [task for worker in cell.fleet.workers for task in worker.runs]
+    assert not running, running
+
+
+@then("only the approved workers ran tasks")
+def then_only_approved(context):
+    used = {
+        worker.partition("-")[0]
+        for items in context.cell.fleet.starts.values()
+        for worker, _ in items
+    }
+    assert used <= context.cell.approved, used
+
+
+@then("each task started once")
+def then_started_once(context):
+    counts = {task: len(items) for task, items in context.cell.fleet.starts.items()}
+    assert set(counts.values()) == {1}, counts
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -13,6 +13,12 @@
     cell = ReplicaCell(
         context.folder, size=size, seed=int(context.config.userdata.get("seed", SEED)), **flags
     )
+    host_cell(context, cell)
+    return cell
+
+
+def host_cell(context, cell):
+    """Hold the tasks of a cell until the scenario ends."""
     context.cell = cell
     loop = context.runner.get_loop()
     host = loop.create_task(cell.host())
@@ -22,7 +28,6 @@
         await host
 
     context.closers.append(lambda: context.run(stop()))
-    return cell
 
 
 async def start_cell(cell):
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -196,11 +196,14 @@
         ends, keys = self._take_ends(new)
         self._take_active(answer.active)
         lost = [] if answer.is_cut_short else self._find_missing(answer, sent_at=sent_at)
-        worker.is_accounted = True
-        if new or not was_usable:
+        if new and was_usable:
             self._owner.wake_planner()
         await self._reporter.commit(ends)
         self._owner.settle(keys)
+        # Only now is it known what an earlier leader's tasks came to here.
+        worker.is_accounted = True
+        if not was_usable:
+            self._owner.wake_planner()
         if new:
             self._committed = max(ended.number for ended in new)
         if lost:
