Refuse malformed fields with a code, index queues, and reserve nothing for a gang that cannot fit

Cause: reading the adapter again: numbers beyond 32 bits, half surrogate pairs and malformed approvals raised errors without a code, so a bad configuration was answered 500 in place of 4xx, and a bad answer of the advisor ended the term. Queues were looked up by a scan for each waiting step in each round, which 500 routes would not bear. A gang wider than all approved workers reserved them for ever. Ruled out: checks at the leader, as nobody but the adapter knows the wire. Change: bounded fields, approvals decoded row by row, queues by host and prefix, no reservation where the workers cannot hold the gang; the adapter's own feature with a worker at the level of the wire. Test: features/platform.feature (41 scenarios) passes; 'A gang that can never fit' failed before and passes now.

--- /dev/null
+++ b/features/lib/wire_worker.py
@@ -0,0 +1,56 @@
+"""A worker at the level of the wire: an HTTP server that answers as it is told."""
+
+import json
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from dewspindle._internal.http.server import HttpServer
+
+from .cells import find_free_address
+
+Message = MutableMapping[str, Any]
+
+
+class WireWorker:
+    """Keeps what it was asked, and answers from a table or runs tasks at once."""
+
+    def __init__(self) -> None:
+        self.address = find_free_address()
+        self.answers: dict[str, tuple[int, Any]] = {}
+        self.asked: list[tuple[str, dict[str, str], dict[str, Any]]] = []
+        self._finished: list[list[Any]] = []
+        self.server = HttpServer(self, address=self.address)
+
+    async def __call__(
+        self,
+        scope: Message,
+        receive: Callable[[], Awaitable[Message]],
+        send: Callable[[Message], Awaitable[None]],
+    ) -> None:
+        if scope["type"] != "http":
+            return
+        body = b""
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        headers = {key.decode(): value.decode() for key, value in scope["headers"]}
+        fields = json.loads(body) if body else {}
+        self.asked.append((scope["path"], headers, fields))
+        status, answer = self.answers.get(scope["path"]) or self._run(scope["path"], fields)
+        content = json.dumps(answer).encode()
+        raw = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(content))]
+        await send({"type": "http.response.start", "status": status, "headers": raw})
+        await send({"type": "http.response.body", "body": content})
+
+    def _run(self, path: str, fields: dict[str, Any]) -> tuple[int, Any]:
+        if path == "/run-start":
+            number = len(self._finished) + 1
+            row = [number, fields["task"], fields["attempt"], "done", ""]
+            self._finished.append(row)
+            return 200, {"clock_ms": 1000}
+        if path == "/hold":
+            left = [row for row in self._finished if row[0] > fields["ack_cursor"]]
+            return 200, {"clock_ms": 1000, "active": [], "finished": left}
+        return 200, {"clock_ms": 1000}
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -88,6 +88,20 @@
     add_job(context, make_plan(make_step(size, gang=True, processors=8000), run_s=2.0))
 
 
+@given("a gang of {count:d} tasks that each need a whole worker")
+def given_hopeless_gang(context, count):
+    add_job(context, make_plan(make_step(count, gang=True, processors=8000)))
+
+
+@then("every accepted job but the first succeeded")
+def then_others_succeeded(context):
+    cell = context.cell
+    others = sorted(cell.fleet.accepted)[1:]
+    states = {job: cell.get_state(job) for job in others}
+    wrong = {job: s for job, s in states.items() if s != jobs_pb2.JOB_SUCCEEDED}
+    assert others and not wrong, wrong
+
+
 @given("a stream of {count:d} small jobs over {seconds:d} seconds")
 def given_stream(context, count, seconds):
     launch(context, submit_over, context, count, 2, seconds)
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,379 @@
+import asyncio
+import json
+import random
+
+from behave import given, then, when
+
+from dewspindle._internal.exceptions import DewspindleError, InvalidSettingError
+from dewspindle._internal.jobs.gateway import (
+    HoldOrder,
+    OrderOutcome,
+    StartOrder,
+    WorkerEndpoint,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
+from dewspindle._internal.models.ids import JobId
+from dewspindle._internal.models.jobs import TaskRef
+from dewspindle._internal.network.json_client import JsonClient
+from dewspindle._internal.platform.advisor_calls import decode_advice
+from dewspindle._internal.platform.beats import decode_beat
+from dewspindle._internal.platform.job_bodies import decode_job
+from dewspindle._internal.platform.programs import make_cell, make_entry
+from dewspindle._internal.platform.queue_table import decode_queue_table
+from dewspindle._internal.platform.settings_file import decode_platform_settings
+from dewspindle._internal.platform.worker_calls import WorkerCalls
+from dewspindle._internal.utils.metrics import Metrics
+from dewspindle._internal.utils.timers import SystemTimerService
+from features.lib.cells import find_free_address
+from features.lib.wire_worker import WireWorker
+
+BEAT = {
+    "service": "pool",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "sequence": 4,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "jobs.example",
+            "path_prefix": "/q/",
+            "kind": "non_idempotent",
+            "timeout_ms": 3000,
+            "target_latency_ms": 250,
+            "priority": 0,
+            "service": "pool",
+            "max_attempts": 3,
+            "slack_factor": 1.5,
+        }
+    ],
+    "services": [{"name": "pool", "health_path": "/healthz", "enforce_capacity": False}],
+    "limits": {"max_body_bytes": 262144},
+}
+JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 900}]}
+TASK = TaskRef(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
+SETTINGS = """
+node_name=core-a-1
+zone=zone-a
+ip=10.1.0.16
+bind_addrs.admin=10.1.0.16:8166
+internal_ports=7720,7735
+seed_nodes=10.1.0.16:8166,10.2.0.32:8166
+bootstrap=true
+data_dir=/data/core
+fault_tolerance.machines=2
+policy_limits.max_hold_ms=6000
+policy_limits.grace_period_s=6
+policy_limits.something_new=7
+"""
+
+
+def edit(base, **changes):
+    fields = json.loads(json.dumps(base))
+    for name, value in changes.items():
+        if value is None:
+            del fields[name]
+        else:
+            fields[name] = value
+    return json.dumps(fields).encode()
+
+
+def catch_code(call):
+    try:
+        call()
+    except DewspindleError as error:
+        return error.code
+    return ""
+
+
+@when("a worker announces itself with {fault}")
+def when_announces(context, fault):
+    body = {
+        "nothing wrong": json.dumps(BEAT).encode(),
+        "bytes that cannot be read": b"\xff\xfe{",
+        "a list in place of fields": b"[]",
+        "no address": edit(BEAT, address=None),
+        "an address without a port": edit(BEAT, address="10.0.0.9"),
+        "an unknown state": edit(BEAT, state="resting"),
+        "a negative sequence": edit(BEAT, sequence=-1),
+        "a capacity that is text": edit(BEAT, capacity="large"),
+        "labels that are numbers": edit(BEAT, labels=[1, 2]),
+        "a sequence beyond all bounds": edit(BEAT, sequence=2**70),
+        "half of a surrogate pair": edit(BEAT, service="\ud800"),
+        "a far too long drain": edit(BEAT, state="draining", remaining_ms=2**40),
+    }[fault]
+
+    def decode():
+        context.beat = decode_beat("i-1", body)
+
+    context.code = catch_code(decode)
+
+
+@then("the announcement is refused as {code}")
+@then("the configuration is refused as {code}")
+@then("the job is refused as {code}")
+def then_refused(context, code):
+    assert context.code == code, context.code
+
+
+@then("its capacity, labels, rack and clock are known")
+def then_known(context):
+    worker = context.beat.worker
+    assert context.code == ""
+    assert (worker.id, worker.pool, worker.rack) == ("i-1", "pool", "r1-3")
+    assert worker.capacity.processors == 16000
+    assert (context.beat.clock_ms, context.beat.draining) == (482113, False)
+
+
+@when("the operator sends a configuration with {fault}")
+def when_config(context, fault):
+    route = CONFIG["routes"][0]
+    body = {
+        "a cut in the middle": json.dumps(CONFIG).encode()[:90],
+        "an unknown service": edit(CONFIG, services=[]),
+        "two routes in a place": edit(CONFIG, routes=[route, {**route, "name": "other"}]),
+        "no time-out": edit(CONFIG, routes=[{**route, "timeout_ms": 0}]),
+        "no version": edit(CONFIG, version=None),
+        "an endless time-out": edit(CONFIG, routes=[{**route, "timeout_ms": 2**40}]),
+    }[fault]
+    context.code = catch_code(lambda: decode_queue_table(body))
+
+
+@when("a caller hands in a job with {fault}")
+def when_job(context, fault):
+    step = JOB["steps"][0]
+    body = {
+        "bytes that cannot be read": b"\x00",
+        "no steps": edit(JOB, steps=[]),
+        "a step of no tasks": edit(JOB, steps=[{**step, "count": 0}]),
+        "a step after itself": edit(JOB, steps=[{**step, "depends_on": [0]}]),
+        "a text of 5000 bytes": edit(JOB, spec="x" * 5000),
+        "too many tasks": edit(JOB, steps=[{**step, "count": 10**6}]),
+    }[fault]
+    context.code = catch_code(lambda: decode_job(body))
+
+
+@when("the advisor answers with broken rows beside a whole one")
+def when_advised(context):
+    rows = [["i-1", "c81e"], ["i-2"], 7, [None, "c81f"]]
+    context.advice = decode_advice({"approved": rows, "validity_ms": 1500})
+
+
+@then("just the whole row approves a worker")
+def then_advised(context):
+    assert context.advice.tickets == {"i-1": "c81e"}
+    assert context.advice.validity_s == 1.5
+
+
+@given("the platform's settings of a replica")
+def given_settings(context):
+    context.settings_text = SETTINGS
+
+
+@then("its addresses, seeds and limits are known")
+def then_settings(context):
+    settings = decode_platform_settings(context.settings_text)
+    assert settings.seed_hosts == ["10.1.0.16", "10.2.0.32"]
+    assert (settings.peer_port, settings.max_lease_ms, settings.lost_at_once) == (7720, 6000, 2)
+    assert settings.may_form
+
+
+@then('without "{name}" they are refused as {code}')
+def then_missing(context, name, code):
+    lines = [line for line in context.settings_text.splitlines() if not line.startswith(name)]
+    assert catch_code(lambda: decode_platform_settings("\n".join(lines))) == code
+
+
+@then('with "{line}" they are refused as {code}')
+def then_wrong(context, line, code):
+    text = context.settings_text + line + "\n"
+    assert catch_code(lambda: decode_platform_settings(text)) == InvalidSettingError.code == code
+
+
+def start_wire_worker(context):
+    async def begin():
+        context.wire = WireWorker()
+        context.serving = asyncio.ensure_future(context.wire.server.run())
+        context.calls = WorkerCalls(timers=SystemTimerService())
+
+    async def end():
+        await context.calls.close()
+        context.wire.server.stop()
+        await context.serving
+
+    context.run(begin())
+    context.closers.append(lambda: context.run(end()))
+
+
+@given("a worker on the wire that answers {status:d} with {body}")
+def given_wire_worker(context, status, body):
+    start_wire_worker(context)
+    context.wire.answers["/run-start"] = (status, json.loads(body))
+
+
+@when("a task is started there")
+def when_started(context):
+    endpoint = WorkerEndpoint("i-1", context.wire.address)
+    order = StartOrder(TASK, 2, "text", 486000, 7, checkpoint="00ab", ticket="c81e")
+
+    async def start():
+        try:
+            answer = await context.calls.start(endpoint, order, timeout_s=5)
+        except WorkerReplacedError:
+            return "came to another incarnation"
+        except WorkerUnreachableError:
+            return "may have run"
+        return f"was {answer.outcome.value}"
+
+    context.meaning = context.run(start())
+    path, headers, fields = context.wire.asked[0]
+    assert (path, headers["x-dewspindle-expected-instance"]) == ("/run-start", "i-1")
+    assert fields == {
+        "task": "5c0e7a21d94b36f8.0.1.17",
+        "attempt": 2,
+        "spec": "text",
+        "deadline_ms": 486000,
+        "fencing_token": 7,
+        "checkpoint": "00ab",
+        "ticket": "c81e",
+    }
+
+
+@then("the start {meaning}")
+def then_meaning(context, meaning):
+    assert context.meaning == meaning, context.meaning
+
+
+@given("a worker on the wire whose lists hold broken rows")
+def given_broken_rows(context):
+    start_wire_worker(context)
+    good = "5c0e7a21d94b36f8.0.1.17"
+    context.wire.answers["/hold"] = (
+        200,
+        {
+            "clock_ms": 5,
+            "active": [[good, 2, "", 100, 480], ["nonsense", 1, "", 0], 7],
+            "finished": [[1, good, 1, "failed", ""], [2, good, 1, "vanished", ""], []],
+        },
+    )
+
+
+@when("its lists are read")
+def when_read(context):
+    endpoint = WorkerEndpoint("i-1", context.wire.address)
+    order = HoldOrder(fencing_token=7, ack_cursor=0, deadline_ms=None, wait_ms=0)
+    context.lists = context.run(context.calls.hold(endpoint, order, timeout_s=5))
+
+
+@then("the whole rows are known and the lists count as cut short")
+def then_rows(context):
+    lists = context.lists
+    assert lists.outcome is OrderOutcome.ACCEPTED
+    assert [(row.task, row.processors) for row in lists.active] == [(TASK, 480.0)]
+    assert [(row.number, row.task) for row in lists.ended] == [(1, TASK)]
+    assert lists.is_cut_short
+
+
+@given("a replica and an entry on the platform's interfaces, with one worker on the wire")
+def given_platform(context):
+    start_wire_worker(context)
+    ports = {name: find_free_address() for name in ("admin", "client", "ready")}
+    peer = find_free_address()
+    port = peer.rpartition(":")[2]
+    common = [
+        "zone=z",
+        f"internal_ports={port},{port}",
+        f"seed_nodes={peer}",
+        "bootstrap=true",
+        "fault_tolerance.machines=0",
+    ]
+    cell = [
+        "node_name=cell-1",
+        "ip=127.0.0.1",
+        f"bind_addrs.admin={ports['admin']}",
+        f"data_dir={context.folder}",
+    ]
+    entry = [
+        "node_name=entry-1",
+        "ip=127.0.0.2",
+        f"bind_addrs.client_addr={ports['client']}",
+        f"bind_addrs.readiness={ports['ready']}",
+    ]
+
+    async def begin():
+        metrics = Metrics(instance="i", zone="z")
+        random.seed(1)
+        made = [
+            make(
+                decode_platform_settings("\n".join([*common, *lines])),
+                metrics,
+                metrics_port=int(find_free_address().rpartition(":")[2]),
+            )
+            for make, lines in ((make_cell, cell), (make_entry, entry))
+        ]
+        context.instances = [instance for instance, _ in made]
+        context.running = [asyncio.ensure_future(i.run()) for i in context.instances]
+        context.control = JsonClient(ports["admin"])
+        context.client = JsonClient(ports["client"])
+
+    async def end():
+        await context.control.close()
+        await context.client.close()
+        for task in context.running:
+            task.cancel()
+        await asyncio.gather(*context.running, return_exceptions=True)
+
+    context.run(begin())
+    context.closers.append(lambda: context.run(end()))
+
+
+async def ask_until(client, method, path, *, body=None, headers=None, wanted=200):
+    """Send a request until it is answered as wanted; the step's limit bounds it."""
+    while True:
+        try:
+            answer = await client.request(method, path, body=body, headers=headers, timeout_s=5)
+        except DewspindleError:
+            await asyncio.sleep(0)
+            continue
+        if answer.status == wanted:
+            return answer
+
+
+@when("the operator puts a configuration, the worker announces itself and a caller hands in a job")
+def when_job_runs(context):
+    path = "/q/5c0e7a21d94b36f8"
+    headers = {"Host": "jobs.example"}
+
+    async def go():
+        await ask_until(context.control, "POST", "/Config.Replace", body=CONFIG)
+        read = await ask_until(context.control, "GET", "/Config.Read")
+        assert read.body == CONFIG, read.body
+        beat = {**BEAT, "address": context.wire.address}
+        await ask_until(context.control, "POST", "/Instances.Heartbeat/i-1", body=beat)
+        await ask_until(context.client, "POST", path, body=JOB, headers=headers)
+        while True:
+            answer = await ask_until(context.client, "GET", path, headers=headers)
+            if answer.body["state"] == "completed":
+                return
+
+    context.run(go())
+
+
+@then("the job is shown as completed, and the worker was told what the pages say")
+def then_completed(context):
+    starts = [fields for path, _, fields in context.wire.asked if path == "/run-start"]
+    assert {fields["task"] for fields in starts} == {
+        "5c0e7a21d94b36f8.0.0.0",
+        "5c0e7a21d94b36f8.0.0.1",
+    }
+    assert all(fields["fencing_token"] >= 1 and fields["spec"] == "text" for fields in starts)
--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -88,7 +88,20 @@
     def __init__(self) -> None:
         self.jobs: dict[JobId, StoredJob] = {}
         self.workers: dict[str, jobs_pb2.CalledWorker] = {}
-        self.queue_table = jobs_pb2.QueueTable()
+        self._queue_table = jobs_pb2.QueueTable()
+        self._queues: dict[str, dict[str, jobs_pb2.Queue]] = {}  # By host and path prefix.
+
+    @property
+    def queue_table(self) -> jobs_pb2.QueueTable:
+        """Return the table of queues in force."""
+        return self._queue_table
+
+    @queue_table.setter
+    def queue_table(self, table: jobs_pb2.QueueTable) -> None:
+        self._queue_table = table
+        self._queues = {}
+        for queue in table.queues:
+            self._queues.setdefault(queue.host, {})[queue.path_prefix] = queue
 
     def add(self, message: jobs_pb2.Job) -> StoredJob:
         """Add a job."""
@@ -98,20 +111,14 @@
 
     def find_queue(self, host: str, path: str) -> jobs_pb2.Queue | None:
         """Return the queue with the longest prefix of a path, or None."""
-        found = [
-            queue
-            for queue in self.queue_table.queues
-            if queue.host == host and path.startswith(queue.path_prefix)
-        ]
-        return max(found, key=lambda queue: len(queue.path_prefix), default=None)
+        by_prefix = self._queues.get(host, {})
+        found = [prefix for prefix in by_prefix if path.startswith(prefix)]
+        return by_prefix[max(found, key=len)] if found else None
 
     def get_queue_in_force(self, job: StoredJob) -> jobs_pb2.Queue:
         """Return a job's queue as configured now, or as it was when the job was accepted."""
         accepted = job.message.queue
-        for queue in self.queue_table.queues:
-            if queue.host == accepted.host and queue.path_prefix == accepted.path_prefix:
-                return queue
-        return accepted
+        return self._queues.get(accepted.host, {}).get(accepted.path_prefix, accepted)
 
     def restore(
         self,
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -225,11 +225,14 @@
             key=lambda worker: -count_fitting(step.amounts, round_.get_room(worker)),
         )
         left = unit.unit.size
+        chosen: list[str] = []
         for worker in ranked:
             if left <= 0:
                 break
             left -= count_fitting(step.amounts, worker.capacity)
-            round_.reserved[worker.id] = step
+            chosen.append(worker.id)
+        if left <= 0:
+            round_.reserved.update(dict.fromkeys(chosen, step))
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> None:
         candidates = self._list_candidates(step, queue, round_)
--- a/src/dewspindle/_internal/platform/advisor_calls.py
+++ b/src/dewspindle/_internal/platform/advisor_calls.py
@@ -1,9 +1,15 @@
 """Calls to the advisor."""
 
-from ..exceptions import ServerUnreachableError
+from typing import Any
+
+from ..exceptions import InvalidDocumentError, ServerUnreachableError
 from ..jobs.gateway import Advice, AdvisorBusyError, WorkerUnreachableError
 from ..network.json_client import JsonClient
+from ..utils.logs import get_logger
 from ..utils.timers import TimerService
+from .fields import read_list, read_number
+
+logger = get_logger(__name__)
 
 
 class AdvisorCalls:
@@ -31,13 +37,23 @@
             raise AdvisorBusyError
         if answer.status != 200 or not isinstance(answer.body, dict):
             raise WorkerUnreachableError(f"the advisor answered {answer.status}")
-        tickets = {}
-        for row in answer.body.get("approved", []):
-            if isinstance(row, list) and len(row) >= 2:
-                tickets[str(row[0])] = str(row[1])
-        validity_ms = answer.body.get("validity_ms", 0)
-        return Advice(tickets=tickets, validity_s=float(validity_ms) / 1000)
+        return decode_advice(answer.body)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
+
+
+def decode_advice(fields: dict[str, Any]) -> Advice:
+    """Return the tickets; a row that cannot be read approves no worker, and the rest holds."""
+    tickets = {}
+    try:
+        for row in read_list(fields, "approved"):
+            if isinstance(row, list) and len(row) >= 2 and isinstance(row[0], str):
+                tickets[row[0]] = str(row[1])
+            else:
+                logger.warning("approval cannot be read", row=str(row)[:100])
+        validity_ms = read_number(fields, "validity_ms")
+    except InvalidDocumentError as error:
+        raise WorkerUnreachableError(error.detail) from None
+    return Advice(tickets=tickets, validity_s=validity_ms / 1000)
--- a/src/dewspindle/_internal/platform/beats.py
+++ b/src/dewspindle/_internal/platform/beats.py
@@ -3,7 +3,15 @@
 from ..exceptions import InvalidDocumentError
 from ..schema import jobs_pb2, peers_pb2
 from ..utils.addresses import parse_address
-from .fields import parse_object, read_count, read_list, read_object, read_text
+from .fields import (
+    MAX_LONG_COUNT,
+    is_unicode,
+    parse_object,
+    read_count,
+    read_list,
+    read_object,
+    read_text,
+)
 from .job_bodies import decode_resources
 
 STATE_READY = "ready"
@@ -22,7 +30,7 @@
     except ValueError as error:
         raise InvalidDocumentError(f"field 'address': {error}", field="address") from None
     labels = read_list(fields, "labels")
-    if not all(isinstance(label, str) for label in labels):
+    if not all(isinstance(label, str) and is_unicode(label) for label in labels):
         raise InvalidDocumentError("an entry of 'labels' is not a string", field="labels")
     return peers_pb2.WorkerBeat(
         worker=jobs_pb2.CalledWorker(
@@ -38,6 +46,6 @@
         draining=state == STATE_DRAINING,
         remaining_ms=read_count(fields, "remaining_ms", default=0),
         cold_ms=read_count(fields, "cold_remaining_ms", default=0),
-        clock_ms=read_count(fields, "clock_ms", default=0),
-        sequence=read_count(fields, "sequence"),
+        clock_ms=read_count(fields, "clock_ms", default=0, limit=MAX_LONG_COUNT),
+        sequence=read_count(fields, "sequence", limit=MAX_LONG_COUNT),
     )
--- a/src/dewspindle/_internal/platform/fields.py
+++ b/src/dewspindle/_internal/platform/fields.py
@@ -5,7 +5,8 @@
 
 from ..exceptions import InvalidDocumentError, MalformedBodyError
 
-MAX_COUNT = 2**53  # JSON numbers are exact up to here.
+MAX_COUNT = 2**32 - 1  # What the messages between instances hold in most fields.
+MAX_LONG_COUNT = 2**53  # JSON numbers are exact up to here.
 
 
 def parse_object(body: bytes) -> dict[str, Any]:
@@ -22,16 +23,27 @@
 def read_text(fields: dict[str, Any], name: str, *, default: str | None = None) -> str:
     """Return a string field; raise `InvalidDocumentError` where it is missing or another type."""
     value = fields.get(name, default)
-    if not isinstance(value, str):
+    if not isinstance(value, str) or not is_unicode(value):
         raise InvalidDocumentError(f"field {name!r} is not a string", field=name)
     return value
 
 
-def read_count(fields: dict[str, Any], name: str, *, default: int | None = None) -> int:
-    """Return a whole number of at least 0; raise `InvalidDocumentError` for anything else."""
+def is_unicode(text: str) -> bool:
+    """Tell whether a string can be encoded; JSON may carry half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def read_count(
+    fields: dict[str, Any], name: str, *, default: int | None = None, limit: int = MAX_COUNT
+) -> int:
+    """Return a whole number from 0 to a limit; raise `InvalidDocumentError` for anything else."""
     value: Any = fields.get(name, default)
     is_whole = isinstance(value, int) or (isinstance(value, float) and value.is_integer())
-    if isinstance(value, bool) or not is_whole or not 0 <= value <= MAX_COUNT:
+    if isinstance(value, bool) or not is_whole or not 0 <= value <= limit:
         raise InvalidDocumentError(f"field {name!r} is not a whole number", field=name)
     return int(value)
 
@@ -39,7 +51,7 @@
 def read_number(fields: dict[str, Any], name: str, *, default: float | None = None) -> float:
     """Return a number of at least 0; raise `InvalidDocumentError` for anything else."""
     value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < MAX_COUNT:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= MAX_COUNT:
         raise InvalidDocumentError(f"field {name!r} is not a number", field=name)
     return float(value)
 
--- a/src/dewspindle/_internal/platform/job_bodies.py
+++ b/src/dewspindle/_internal/platform/job_bodies.py
@@ -5,7 +5,15 @@
 from ..exceptions import InvalidDocumentError
 from ..models.enums import JobStatus
 from ..schema import jobs_pb2, resources_pb2
-from .fields import as_object, parse_object, read_count, read_flag, read_list, read_text
+from .fields import (
+    MAX_LONG_COUNT,
+    as_object,
+    parse_object,
+    read_count,
+    read_flag,
+    read_list,
+    read_text,
+)
 
 MAX_SPEC_BYTES = 4000  # Of the payload that tasks are handed.
 MAX_TASKS = 100_000  # Of all steps and occurrences, which bounds what one job costs the leader.
@@ -28,8 +36,8 @@
     spec = jobs_pb2.JobSpec(
         payload=payload,
         repeat_count=read_count(fields, "repeat_count", default=0),
-        first_due_ms=read_count(fields, "start_at_ms", default=0),
-        interval_ms=read_count(fields, "interval_ms", default=0),
+        first_due_ms=read_count(fields, "start_at_ms", default=0, limit=MAX_LONG_COUNT),
+        interval_ms=read_count(fields, "interval_ms", default=0, limit=MAX_LONG_COUNT),
     )
     for number, entry in enumerate(read_list(fields, "steps")):
         spec.steps.append(_decode_step(as_object(entry, "steps"), number))
@@ -71,7 +79,7 @@
 def decode_resources(fields: dict[str, Any]) -> resources_pb2.Resources:
     """Return amounts of processors (thousandths of a core), memory (MB) and accelerators."""
     return resources_pb2.Resources(
-        processors=read_count(fields, "cpu", default=0),
-        memory_mb=read_count(fields, "mem_mb", default=0),
-        accelerators=read_count(fields, "gpu", default=0),
+        processors=read_count(fields, "cpu", default=0, limit=MAX_LONG_COUNT),
+        memory_mb=read_count(fields, "mem_mb", default=0, limit=MAX_LONG_COUNT),
+        accelerators=read_count(fields, "gpu", default=0, limit=MAX_LONG_COUNT),
     )
--- a/src/dewspindle/_internal/platform/programs.py
+++ b/src/dewspindle/_internal/platform/programs.py
@@ -67,7 +67,9 @@
     )
 
 
-def make_entry(platform: PlatformSettings, metrics: Metrics) -> tuple[JobInstance, AddressBook]:
+def make_entry(
+    platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
+) -> tuple[JobInstance, AddressBook]:
     """Return the instance that callers reach, with its servers."""
     if not platform.client_address or not platform.readiness_address:
         raise InvalidSettingError("an entry needs 'client_addr' and 'readiness'")
@@ -79,11 +81,13 @@
     instance.add_server(HttpServer(app, address=platform.client_address))
     readiness = ReadinessApp(is_ready=lambda: instance.is_ready)
     instance.add_server(HttpServer(readiness, address=platform.readiness_address))
-    instance.add_server(_make_metrics_server(platform, metrics))
+    instance.add_server(HttpServer(MetricsApp(metrics), address=f"{platform.ip}:{metrics_port}"))
     return instance, instance.book
 
 
-def make_cell(platform: PlatformSettings, metrics: Metrics) -> tuple[JobInstance, AddressBook]:
+def make_cell(
+    platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
+) -> tuple[JobInstance, AddressBook]:
     """Return a replica, with its servers and its calls to workers and the advisor."""
     if not platform.control_address or not platform.data_dir:
         raise InvalidSettingError("a replica needs 'admin' and a data folder")
@@ -107,14 +111,10 @@
     )
     app = ControlApp(leader=instance.leader, timers=timers)
     instance.add_server(HttpServer(app, address=platform.control_address))
-    instance.add_server(_make_metrics_server(platform, metrics))
+    instance.add_server(HttpServer(MetricsApp(metrics), address=f"{platform.ip}:{metrics_port}"))
     return instance, instance.book
 
 
-def _make_metrics_server(platform: PlatformSettings, metrics: Metrics) -> HttpServer:
-    return HttpServer(MetricsApp(metrics), address=f"{platform.ip}:{METRICS_PORT}")
-
-
 ROLES = {"entry": make_entry, "cell": make_cell}
 
 
--- a/src/dewspindle/_internal/platform/queue_table.py
+++ b/src/dewspindle/_internal/platform/queue_table.py
@@ -5,6 +5,7 @@
 from ..exceptions import InvalidDocumentError
 from ..schema import jobs_pb2
 from .fields import (
+    MAX_LONG_COUNT,
     as_object,
     parse_object,
     read_count,
@@ -19,7 +20,9 @@
 def decode_queue_table(body: bytes) -> jobs_pb2.QueueTable:
     """Return a checked configuration; raise `MalformedBodyError` or `InvalidDocumentError`."""
     fields = parse_object(body)
-    table = jobs_pb2.QueueTable(version=read_count(fields, "version"), document=body)
+    table = jobs_pb2.QueueTable(
+        version=read_count(fields, "version", limit=MAX_LONG_COUNT), document=body
+    )
     if table.version == 0:
         raise InvalidDocumentError("field 'version' is 0", field="version")
     for entry in read_list(fields, "services"):
