Make the scenario of the hopeless gang show its fault

Change: the small jobs now have to end within 3 seconds, which is before the gang is late. Only a test changed.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -99,8 +99,8 @@
   Scenario: A gang that can never fit holds nothing back
     Given a cell of 3 replicas that calls 4 workers
     And a gang of 5 tasks that each need a whole worker
-    And a stream of 40 small jobs over 4 seconds
-    When 10 seconds of jobs pass
+    And a stream of 8 small jobs over 1 seconds
+    When 3 seconds of jobs pass
     Then every accepted job but the first succeeded
 
   Scenario: The submission of a job is acknowledged once, whatever is sent again
