--- a/features/lib/job_cell.py
+++ b/features/lib/job_cell.py
@@ -42,9 +42,22 @@
             metrics=Metrics(instance=self.name, zone="z"),
         )
 
+        handlers = dict(self.cell.network.get_handlers(self.address))
+        handlers["join"] = self.job_duties.members.handle_join
+        handlers["say_hello"] = self._answer_hello
+        self.cell.network.attach(self.address, handlers, self.timers)
+
+    async def _answer_hello(self, request: peers_pb2.HelloRequest) -> peers_pb2.HelloAnswer:
+        assert self.formation is not None
+        assert self.replica is not None
+        answer = await self.formation.handle_hello(request)
+        answer.leads = self.replica.holds_lease
+        return answer
+
     def _list_runs(self) -> list[Callable[[], Any]]:
         assert self.replica is not None
-        return [self.replica.run, self.job_duties.run]
+        assert self.formation is not None
+        return [self.replica.run, self.job_duties.run, self.formation.watch_membership]
 
     async def _advise(
         self, helper: str, request: peers_pb2.AdviseRequest
--- a/features/lib/network.py
+++ b/features/lib/network.py
@@ -39,6 +39,10 @@
         self._nodes[address] = handlers
         self._pauses[address] = timers
 
+    def get_handlers(self, address: str) -> dict[str, Handler]:
+        """Return what a node answers."""
+        return self._nodes[address]
+
     def detach(self, address: str) -> None:
         self._nodes.pop(address, None)
 
--- a/src/dewspindle/_internal/jobs/duties.py
+++ b/src/dewspindle/_internal/jobs/duties.py
@@ -59,6 +59,11 @@
         """Return the dispatcher of the term that is led, if any."""
         return self._dispatcher
 
+    @property
+    def members(self) -> MemberKeeper:
+        """Return the keeper of the members."""
+        return self._members
+
     def register(self, leader: LeaderClient, server: PeerServer) -> None:
         """Answer the requests that go to the leader, with or without the network."""
         for method, handler in (
