Bear orders that are lost now and then without giving workers up

Ruled out: the leader (none changed from 3.3 s to 14 s), the advisor (no call failed). Change: a worker is paused after two unanswered orders in a row, and for a second; trouble that needs a proof of health is for failed and stuck tasks only; a look waits 1 s in place of 2, and a second one follows at once where the first is unanswered; a confirmed stop is looked up at once.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -96,6 +96,13 @@
     When 30 seconds of jobs pass
     Then every accepted job succeeded
 
+  Scenario: Orders that are lost now and then cost little time and no worker
+    Given a cell of 3 replicas that calls 6 workers
+    And workers that leave 7 percent of all calls unanswered and carry them out late
+    And 60 jobs of 10 tasks over 20 seconds
+    When 24 seconds of jobs pass
+    Then at least 95 percent of the jobs succeeded
+
   Scenario: A gang that can never fit holds nothing back
     Given a cell of 3 replicas that calls 4 workers
     And a gang of 5 tasks that each need a whole worker
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -1,5 +1,6 @@
 """Stand-in workers that are called, an advisor, and the checks of what must hold on them."""
 
+import random
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -69,6 +70,7 @@
         self.is_cut_off = False
         self.loses_answers = False
         self.delays_orders = False
+        self.delayed_share = 0.0  # Of the calls, drawn by the fleet's seed.
         self.fails_everything = False
         self.hangs_everything = False
         self.is_draining = False
@@ -212,7 +214,8 @@
         clock = self._fleet.timers
         await clock.sleep(LATENCY_S)
         worker = self._fleet.find(endpoint)
-        if worker.delays_orders:
+        is_delayed = self._fleet.random.random() < worker.delayed_share
+        if worker.delays_orders or is_delayed:
             self._fleet.cell.start_soon(self._fleet.deliver_late, worker, call)
             await clock.sleep(60)
         while worker.timers.is_paused:
@@ -249,6 +252,7 @@
         self.ever_done: set[TaskRef] = set()
         self.failed: dict[TaskRef, int] = defaultdict(int)
         self.broken = Broken()
+        self.random = random.Random(7)
         self.hooks: list[Callable[[str, CalledWorker, TaskRef], None]] = []
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -113,6 +113,20 @@
         worker.hangs_everything = True
 
 
+@given("workers that leave {percent:d} percent of all calls unanswered and carry them out late")
+def given_lossy(context, percent):
+    for worker in context.cell.fleet.workers:
+        worker.delayed_share = percent / 100
+
+
+@then("at least {percent:d} percent of the jobs succeeded")
+def then_most_succeeded(context, percent):
+    cell = context.cell
+    states = [cell.get_state(job) for job in cell.fleet.accepted]
+    share = states.count(jobs_pb2.JOB_SUCCEEDED) / len(states)
+    assert share >= percent / 100, share
+
+
 @given("{count:d} worker that fails every task")
 def given_failing_workers(context, count):
     for worker in context.cell.fleet.workers[:count]:
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -34,7 +34,7 @@
 from .runs import JobRun, StepRun, UnitRun
 from .session import WorkerSession
 
-ORDER_TIMEOUT_S = 1.0  # A worker answers an order within milliseconds when it is well.
+ORDER_TIMEOUT_S = 0.5  # A worker that is well answers within milliseconds.
 STOP_RETRY_S = 0.3
 REJECTED_PAUSE_S = 0.1  # Before a task is tried again after a worker rejected it.
 FAILED_PAUSE_S = 0.05
@@ -489,6 +489,7 @@
             self._note_unanswered(placement, error)
             return
         now = self._timers.now()
+        worker.note_answer()
         if answer.clock_ms is not None:
             worker.lease.note_clock(answer.clock_ms, received_at=now)
         if answer.outcome is OrderOutcome.ACCEPTED:
@@ -509,14 +510,14 @@
 
     def _note_unanswered(self, placement: Placement, error: WorkerUnreachableError) -> None:
         """Make sure that a start without an answer is not carried out later."""
-        pause_s = placement.worker.note_trouble(self._timers.now())
+        is_paused = placement.worker.note_silence(self._timers.now())
         self._metrics.count_retry(RetryReason.START_UNANSWERED)
         logger.warning(
             "start unanswered",
             job=placement.key[0],
             worker=placement.worker.id,
             why=str(error),
-            shunned_s=pause_s,
+            worker_paused=is_paused,
         )
         self._order_stop(placement, "its start was not answered")
 
@@ -574,10 +575,13 @@
                 continue
             if answer.outcome is OrderOutcome.ACCEPTED:
                 placement.confirmed_at = self._timers.now()
+                worker.note_answer()
                 break
             logger.warning("stop rejected", worker=worker.id, outcome=answer.outcome.value)
             await self._timers.sleep(STOP_RETRY_S)
-        self._wake_session(self._sessions.get(worker.id))
+        session = self._sessions.get(worker.id)
+        if session is not None:
+            session.look_now()
 
     async def _expire_jobs(self) -> None:
         """Forget jobs that ended long enough ago."""
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -13,8 +13,10 @@
 TaskKey = tuple[JobId, int]
 
 BEAT_SILENCE_S = 5.0  # Three announcements of 1.5 s and a margin without one.
-SHUN_BASE_S = 2.0  # First pause of a worker that did not answer an order or failed its tasks.
+SHUN_BASE_S = 2.0  # First pause of a worker that failed its tasks or where they stood still.
 SHUN_LIMIT_S = 16.0
+SILENCES_TO_SHUN = 2  # Orders without an answer in a row; a single one may be lost on its way.
+SILENCE_PAUSE_S = 1.0
 FAILURES_TO_SHUN = 2  # Tasks failed in a row that speak against the worker, not the tasks.
 
 
@@ -61,6 +63,7 @@
     is_accounted: bool = True  # Its lists were read in this term, or nothing can run there.
     shun_until: float = float("-inf")
     trouble: int = 0
+    unanswered: int = 0  # Orders in a row.
     failures_in_row: int = 0
     speed: float = 1.0  # Learnt from the run times of its tasks; above 1 is faster than the rest.
 
@@ -105,6 +108,18 @@
             self.used -= placement.amounts
         placement.phase = Phase.ENDED
 
+    def note_answer(self) -> None:
+        """Take note that the worker answers."""
+        self.unanswered = 0
+
+    def note_silence(self, now: float) -> bool:
+        """Take note of an order without an answer; return whether the use is paused."""
+        self.unanswered += 1
+        if self.unanswered < SILENCES_TO_SHUN:
+            return False
+        self.shun_until = max(self.shun_until, now + SILENCE_PAUSE_S)
+        return True
+
     def note_trouble(self, now: float) -> float:
         """Pause the use of the worker, longer each time; return the pause in seconds."""
         pause_s: float = min(SHUN_LIMIT_S, SHUN_BASE_S * 2.0 ** min(self.trouble, 8))
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+import anyio
+
 from ..models.jobs import TaskRef
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
@@ -19,8 +21,10 @@
     WorkerUnreachableError,
 )
 
-HOLD_WAIT_S = 2.0  # The longest that a worker may hold an answer back.
-HOLD_SLACK_S = 1.0  # Beside the wait, for the way there and back.
+HOLD_WAIT_S = 1.0  # Bounds how long ends go unseen where an answer is lost on its way.
+HOLD_SLACK_S = 0.6  # Beside the wait, for the way there and back over a lossy link.
+IDLE_CHECK_S = 2.0  # Between looks for the signs that an idle worker is gone.
+FAILURES_TO_DOUBT = 2  # Looks in a row without an answer; a single one may be lost on its way.
 RETRY_PAUSE_S = 0.4
 LONGEST_PAUSE_S = 2.0  # Between looks at a worker that does not answer.
 LEAVE_GRACE_S = 0.5  # From a worker's last announcement until nothing runs there any more.
@@ -86,6 +90,8 @@
         self._committed = 0
         self._failures = 0
         self._left_at: float | None = None
+        self._is_urgent = False
+        self._looking: anyio.CancelScope | None = None
 
     @property
     def worker(self) -> FleetWorker:
@@ -96,6 +102,13 @@
         """Look at the worker soon."""
         self._wake.set()
 
+    def look_now(self) -> None:
+        """Read the lists at once, in place of a request that waits for an end."""
+        self._is_urgent = True
+        if self._looking is not None:
+            self._looking.cancel()
+        self._wake.set()
+
     async def run(self) -> None:
         """Talk with the worker until it is gone."""
         while True:
@@ -105,7 +118,7 @@
                 await self._owner.discharge(self._worker)
                 return
             if not self._needs_look():
-                await wait_for_event(self._timers, event=event, seconds=HOLD_WAIT_S)
+                await wait_for_event(self._timers, event=event, seconds=IDLE_CHECK_S)
                 continue
             try:
                 await self._look()
@@ -135,7 +148,9 @@
     async def _look(self) -> None:
         worker = self._worker
         sent_at = self._timers.now()
-        wait_s = HOLD_WAIT_S if worker.placements and worker.is_accounted else 0.0
+        may_wait = worker.placements and worker.is_accounted and not self._is_urgent
+        wait_s = HOLD_WAIT_S if may_wait else 0.0
+        self._is_urgent = False
         # A lease that is not renewed while the worker is unreachable ends at a known time.
         is_renewed = worker.is_reachable and worker.lease.is_sampled
         deadline = worker.lease.grant(now=sent_at, seconds=self._lease_s) if is_renewed else None
@@ -145,13 +160,20 @@
             deadline_ms=deadline,
             wait_ms=int(wait_s * 1000),
         )
+        answer: HoldAnswer | None = None
         try:
-            answer = await self._gateway.hold(
-                worker.endpoint, order, timeout_s=wait_s + HOLD_SLACK_S
-            )
+            with anyio.CancelScope() as self._looking:
+                answer = await self._gateway.hold(
+                    worker.endpoint, order, timeout_s=wait_s + HOLD_SLACK_S
+                )
         except WorkerUnreachableError as error:
             await self._note_unreachable(error)
             return
+        finally:
+            self._looking = None
+        if answer is None:
+            return
+        worker.note_answer()
         if answer.clock_ms is not None:
             worker.lease.note_clock(answer.clock_ms, received_at=self._timers.now())
         if answer.outcome is not OrderOutcome.ACCEPTED:
@@ -164,6 +186,9 @@
     async def _note_unreachable(self, error: WorkerUnreachableError) -> None:
         worker = self._worker
         self._failures += 1
+        if self._failures < FAILURES_TO_DOUBT and worker.is_reachable:
+            logger.info("look unanswered", worker=worker.id, why=str(error))
+            return
         if worker.is_reachable:
             logger.warning("worker unreachable", worker=worker.id, why=str(error))
         worker.is_reachable = False
