Give orders and the roster of workers modules of their own

Change: orders.py sends starts and stops, roster.py takes workers up and lets them go, the dispatcher keeps jobs and ends; the cursor of ends is named for what it holds.

--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -150,7 +150,7 @@
         self.token = order.fencing_token
         if order.deadline_ms is not None:
             self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
-        self.acknowledged = max(self.acknowledged, order.ack_cursor)
+        self.acknowledged = max(self.acknowledged, order.acknowledged_through)
         self.ended = [ended for ended in self.ended if ended.number > self.acknowledged]
         if not self.ended and order.wait_ms:
             changed = self._changed
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -2,6 +2,7 @@
 import json
 import random
 
+import anyio.lowlevel
 from behave import given, then, when
 
 from dewspindle._internal.exceptions import DewspindleError, InvalidSettingError
@@ -271,7 +272,7 @@
 @when("its lists are read")
 def when_read(context):
     endpoint = WorkerEndpoint("i-1", context.wire.address)
-    order = HoldOrder(fencing_token=7, ack_cursor=0, deadline_ms=None, wait_ms=0)
+    order = HoldOrder(fencing_token=7, acknowledged_through=0, deadline_ms=None, wait_ms=0)
     context.lists = context.run(context.calls.hold(endpoint, order, timeout_s=5))
 
 
@@ -343,7 +344,7 @@
         try:
             answer = await client.request(method, path, body=body, headers=headers, timeout_s=5)
         except DewspindleError:
-            await asyncio.sleep(0)
+            await anyio.lowlevel.checkpoint()
             continue
         if answer.status == wanted:
             return answer
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import TaskGroup
 
 from ..cell.jobs import StoredJob
 from ..cell.listeners import StateListener
@@ -21,21 +20,13 @@
 from .advice import AdviceCall, AdviceDesk
 from .end_reporter import EndReporter
 from .fleet import Fleet, FleetWorker, Phase, Placement, TaskKey
-from .gateway import (
-    ActiveTask,
-    OrderOutcome,
-    StartOrder,
-    StopOrder,
-    WorkerGateway,
-    WorkerReplacedError,
-    WorkerUnreachableError,
-)
+from .gateway import ActiveTask, OrderOutcome, WorkerGateway
+from .orders import OrderDesk
 from .planning import JobPlanner, Start
-from .runs import JobRun, StepRun, UnitRun
+from .roster import WorkerRoster
+from .runs import JobRun, UnitRun
 from .session import WorkerSession
 
-ORDER_TIMEOUT_S = 0.5  # A worker that is well answers within milliseconds.
-STOP_RETRY_S = 0.3
 REJECTED_PAUSE_S = 0.1  # Before a task is tried again after a worker rejected it.
 FAILED_PAUSE_S = 0.05
 SUPERSEDED_SKIP = 16  # Attempts skipped where a worker has seen one that this leader has not.
@@ -82,7 +73,14 @@
         self._term = term
         self._wake = Signal()
         self._fleet = Fleet()
-        self._sessions: dict[str, WorkerSession] = {}
+        self._roster = WorkerRoster(
+            replica=replica,
+            fleet=self._fleet,
+            timers=timers,
+            make_session=self._make_session,
+            on_usable=self.wake_planner,
+            on_draining=self._move_off,
+        )
         self._runs: dict[JobId, JobRun] = {}
         self._reporter = EndReporter(replica)
         self._advice = AdviceDesk(
@@ -95,8 +93,17 @@
         self._planner = JobPlanner(
             fleet=self._fleet, advice=self._advice, store=view.state.job_store, timers=timers
         )
-        self._group: TaskGroup | None = None
-        self._enlisting: set[str] = set()
+        self._orders = OrderDesk(
+            gateway=gateway,
+            fleet=self._fleet,
+            timers=timers,
+            metrics=metrics,
+            fencing_token=term,
+            lease_s=limits.lease_s,
+            wake_session=self._roster.wake,
+            look_now=self._roster.look_now,
+            on_rejected=self._take_back,
+        )
         self._is_settled = False
 
     @property
@@ -114,25 +121,22 @@
         self._view.state.subscribe(self)
         try:
             async with anyio.create_task_group() as group:
-                self._group = group
+                self._roster.open(group)
+                self._orders.open(group)
                 self._advice.start(group)
                 self._take_stock()
                 group.start_soon(self._reporter.run)
                 group.start_soon(self._expire_jobs)
                 await self._plan_rounds()
         finally:
-            self._group = None
+            self._roster.close()
+            self._orders.close()
             self._view.state.unsubscribe(self)
 
     def _take_stock(self) -> None:
         """Load what is replicated; what runs is learnt from the workers themselves."""
-        now = self._timers.now()
         for message in self._view.state.job_store.workers.values():
-            worker = self._fleet.add(message)
-            worker.is_accounted = False
-            worker.beat_at = now
-            worker.lease.assume_granted(now=now, seconds=self._limits.lease_s)
-            self._open_session(worker)
+            self._roster.inherit(message, lease_s=self._limits.lease_s)
         for stored in self._view.state.job_store.jobs.values():
             if stored.is_open:
                 self._add_run(stored, is_inherited=True)
@@ -140,9 +144,8 @@
             "dispatching", term=self._term, workers=len(self._fleet), open_jobs=len(self._runs)
         )
 
-    def _open_session(self, worker: FleetWorker) -> None:
-        assert self._group is not None
-        session = WorkerSession(
+    def _make_session(self, worker: FleetWorker) -> WorkerSession:
+        return WorkerSession(
             worker,
             gateway=self._gateway,
             owner=self,
@@ -151,8 +154,6 @@
             fencing_token=self._term,
             lease_s=self._limits.lease_s,
         )
-        self._sessions[worker.id] = session
-        self._group.start_soon(session.run)
 
     def _add_run(self, stored: StoredJob, *, is_inherited: bool) -> JobRun:
         age_s = max(0, self._timers.wall_ms() - stored.message.accepted_ms) / 1000
@@ -199,46 +200,11 @@
 
     async def take_beat(self, beat: peers_pb2.WorkerBeat) -> None:
         """Take note of a worker's announcement once it may be relied on."""
-        worker = self._fleet.get(beat.worker.id)
-        if worker is None:
-            if beat.leaves:
-                return
-            worker = await self._enlist(beat.worker)
-            if worker is None:
-                return
-        now = self._timers.now()
-        was_usable = worker.is_usable(now)
-        if self._fleet.take_beat(worker, beat, now=now):
-            logger.info("worker drains", worker=worker.id, remaining_ms=beat.remaining_ms)
-            self._move_off(worker, now)
-        if beat.leaves:
-            logger.info("worker leaves", worker=worker.id, tasks=len(worker.placements))
-            self._sessions[worker.id].wake()
-        if worker.is_usable(now) and not was_usable:
-            self.wake_planner()
+        await self._roster.take_beat(beat)
 
-    async def _enlist(self, message: jobs_pb2.CalledWorker) -> FleetWorker | None:
-        """Have a worker recorded before anything is started there."""
-        if message.id in self._enlisting:
-            return None
-        self._enlisting.add(message.id)
-        try:
-            command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[message]))
-            await self._replica.propose(command)
-        finally:
-            self._enlisting.discard(message.id)
-        worker = self._fleet.get(message.id)
-        if worker is None and self._group is not None:
-            worker = self._fleet.add(message)
-            self._open_session(worker)
-            logger.info("worker enlisted", worker=worker.id, pool=message.pool)
-            for earlier in self._fleet.find_by_address(message.address, other_than=message.id):
-                # Its session sees that another incarnation answers there.
-                self._sessions[earlier.id].wake()
-        return worker
-
-    def _move_off(self, worker: FleetWorker, now: float) -> None:
+    def _move_off(self, worker: FleetWorker) -> None:
         """Stop tasks that would not end before a worker leaves, to go on elsewhere."""
+        now = self._timers.now()
         for placement in list(worker.placements.values()):
             left_s = placement.placed_at + placement.estimate_s - now
             if placement.phase is Phase.RUNNING and now + left_s > worker.leaves_at:
@@ -246,12 +212,7 @@
 
     async def discharge(self, worker: FleetWorker) -> None:
         """Forget a worker on which nothing runs."""
-        self._fleet.remove(worker.id)
-        self._sessions.pop(worker.id, None)
-        logger.info("worker discharged", worker=worker.id)
-        command = cell_pb2.Command(discharge_workers=jobs_pb2.DischargeWorkers(ids=[worker.id]))
-        await self._replica.propose(command)
-        self.wake_planner()
+        await self._roster.discharge(worker)
 
     # What sessions tell.
 
@@ -375,7 +336,7 @@
             adopted=is_ours,
         )
         if unit is None or key is None or not is_ours:
-            self._order_stop(placement, "it belongs to no open attempt", task=active.task)
+            self._orders.stop(placement, active.task, reason="it belongs to no open attempt")
             return
         unit.placements[key[1]] = placement
         unit.attempt = max(unit.attempt, active.attempt)
@@ -438,7 +399,6 @@
             waited_s=round(now - step.run.objective.accepted_at, 3),
         )
         self._metrics.count("dewspindle_starts", unit.unit.size)
-        assert self._group is not None
         for position, worker_id in start.workers.items():
             worker = self._fleet.get(worker_id)
             assert worker is not None
@@ -453,135 +413,42 @@
             )
             worker.add(placement)
             unit.placements[position] = placement
-            order = self._make_start(step, unit, placement, start.tickets.get(worker_id, ""))
-            self._group.start_soon(self._send_start, unit, placement, order)
-
-    def _make_start(
-        self, step: StepRun, unit: UnitRun, placement: Placement, ticket: str
-    ) -> StartOrder:
-        run = step.run
-        return StartOrder(
-            task=self._make_ref(placement.key, run.stored),
-            attempt=placement.attempt,
-            payload=run.stored.message.spec.payload,
-            deadline_ms=placement.worker.lease.grant(
-                now=placement.placed_at, seconds=self._limits.lease_s
-            ),
-            fencing_token=self._term,
-            checkpoint=unit.checkpoint,
-            ticket=ticket,
-        )
+            self._orders.start(
+                placement,
+                self._make_ref(placement.key, step.run.stored),
+                payload=step.run.stored.message.spec.payload,
+                checkpoint=unit.checkpoint,
+                ticket=start.tickets.get(worker_id, ""),
+            )
 
     def _make_ref(self, key: TaskKey, stored: StoredJob) -> TaskRef:
         occurrence, step, index = stored.layout.locate(key[1])
         return TaskRef(job=key[0], occurrence=occurrence, step=step, index=index)
 
-    async def _send_start(self, unit: UnitRun, placement: Placement, order: StartOrder) -> None:
-        worker = placement.worker
-        session = self._sessions.get(worker.id)
-        try:
-            answer = await self._gateway.start(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
-        except WorkerReplacedError:
-            worker.has_left = True
-            self._wake_session(session)
-            return
-        except WorkerUnreachableError as error:
-            self._note_unanswered(placement, error)
-            return
+    def _take_back(self, placement: Placement, outcome: OrderOutcome) -> None:
+        """Let a unit wait again whose start was rejected."""
         now = self._timers.now()
-        worker.note_answer()
-        if answer.clock_ms is not None:
-            worker.lease.note_clock(answer.clock_ms, received_at=now)
-        if answer.outcome is OrderOutcome.ACCEPTED:
-            self._note_started(placement, now)
-            self._wake_session(session)
-            return
-        self._note_rejected(unit, placement, answer.outcome)
-
-    def _wake_session(self, session: WorkerSession | None) -> None:
-        if session is not None:
-            session.wake()
-
-    def _note_started(self, placement: Placement, now: float) -> None:
-        if placement.phase is not Phase.STARTING:
+        unit = self._find_unit(placement.key)
+        if unit is None:
             return
-        placement.phase = Phase.RUNNING
-        placement.confirmed_at = now
-
-    def _note_unanswered(self, placement: Placement, error: WorkerUnreachableError) -> None:
-        """Make sure that a start without an answer is not carried out later."""
-        is_paused = placement.worker.note_silence(self._timers.now())
-        self._metrics.count_retry(RetryReason.START_UNANSWERED)
-        logger.warning(
-            "start unanswered",
-            job=placement.key[0],
-            worker=placement.worker.id,
-            why=str(error),
-            worker_paused=is_paused,
-        )
-        self._order_stop(placement, "its start was not answered")
-
-    def _note_rejected(self, unit: UnitRun, placement: Placement, outcome: OrderOutcome) -> None:
-        """Take back a start that surely did nothing."""
-        now = self._timers.now()
-        worker = placement.worker
-        logger.info("start rejected", job=placement.key[0], worker=worker.id, outcome=outcome.value)
-        self._metrics.count_retry(RetryReason.START_REJECTED)
-        worker.release(placement)
         unit.placements.pop(placement.key[1], None)
         unit.not_before = now + REJECTED_PAUSE_S
         if outcome is OrderOutcome.TICKET_INVALID:
-            self._advice.get(unit.step.key).drop_ticket(worker.id)
+            self._advice.get(unit.step.key).drop_ticket(placement.worker.id)
         elif outcome is OrderOutcome.SUPERSEDED:
             unit.attempt += SUPERSEDED_SKIP
         elif outcome is not OrderOutcome.LATE:
-            worker.note_trouble(now)
+            placement.worker.note_trouble(now)
         for other in list(unit.placements.values()):
             self._order_stop(other, "another member of the gang was rejected")
-        if unit.is_waiting and self._runs.get(placement.key[0]) is unit.step.run:
+        if unit.is_waiting:
             self._planner.requeue(unit)
         self.wake_planner()
 
-    def _order_stop(
-        self, placement: Placement, reason: str, *, task: TaskRef | None = None
-    ) -> None:
-        if placement.is_stop_ordered or placement.phase is Phase.ENDED or self._group is None:
-            return
-        placement.is_stop_ordered = True
-        placement.phase = Phase.STOPPING
-        placement.confirmed_at = float("inf")
-        if task is None:
-            stored = self._view.state.job_store.jobs.get(placement.key[0])
-            if stored is None:
-                return
-            task = self._make_ref(placement.key, stored)
-        logger.info(
-            "task stop ordered", job=placement.key[0], worker=placement.worker.id, why=reason
-        )
-        order = StopOrder(task=task, attempt=placement.attempt, fencing_token=self._term)
-        self._group.start_soon(self._send_stop, placement, order)
-
-    async def _send_stop(self, placement: Placement, order: StopOrder) -> None:
-        worker = placement.worker
-        while placement.phase is not Phase.ENDED and self._fleet.get(worker.id) is worker:
-            try:
-                answer = await self._gateway.stop(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
-            except WorkerReplacedError:
-                worker.has_left = True
-                break
-            except WorkerUnreachableError as error:
-                logger.info("stop unanswered", worker=worker.id, why=str(error))
-                await self._timers.sleep(STOP_RETRY_S)
-                continue
-            if answer.outcome is OrderOutcome.ACCEPTED:
-                placement.confirmed_at = self._timers.now()
-                worker.note_answer()
-                break
-            logger.warning("stop rejected", worker=worker.id, outcome=answer.outcome.value)
-            await self._timers.sleep(STOP_RETRY_S)
-        session = self._sessions.get(worker.id)
-        if session is not None:
-            session.look_now()
+    def _order_stop(self, placement: Placement, reason: str) -> None:
+        stored = self._view.state.job_store.jobs.get(placement.key[0])
+        if stored is not None:
+            self._orders.stop(placement, self._make_ref(placement.key, stored), reason=reason)
 
     async def _expire_jobs(self) -> None:
         """Forget jobs that ended long enough ago."""
--- a/src/dewspindle/_internal/jobs/gateway.py
+++ b/src/dewspindle/_internal/jobs/gateway.py
@@ -64,7 +64,7 @@
     """Renew the lease of all that runs on a worker, and read what runs and what ended."""
 
     fencing_token: int
-    ack_cursor: int  # Ends up to here are committed and may be forgotten.
+    acknowledged_through: int  # Ends up to here are committed and may be forgotten.
     deadline_ms: int | None  # On the worker's clock.
     wait_ms: int  # The answer may wait this long for an end.
 
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -0,0 +1,157 @@
+"""Orders to workers: starts and stops, with what a missing answer means."""
+
+from collections.abc import Callable
+
+from anyio.abc import TaskGroup
+
+from ..models.jobs import TaskRef
+from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
+from ..utils.refusals import RetryReason
+from ..utils.timers import TimerService
+from .fleet import Fleet, Phase, Placement
+from .gateway import (
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+    WorkerGateway,
+    WorkerReplacedError,
+    WorkerUnreachableError,
+)
+
+ORDER_TIMEOUT_S = 0.5  # A worker that is well answers within milliseconds.
+STOP_RETRY_S = 0.3
+
+logger = get_logger(__name__)
+
+
+class OrderDesk:
+    """Sends each order in a task of its own, and keeps its placement in step."""
+
+    def __init__(
+        self,
+        *,
+        gateway: WorkerGateway,
+        fleet: Fleet,
+        timers: TimerService,
+        metrics: Metrics,
+        fencing_token: int,
+        lease_s: float,
+        wake_session: Callable[[str], None],
+        look_now: Callable[[str], None],
+        on_rejected: Callable[[Placement, OrderOutcome], None],
+    ) -> None:
+        self._gateway = gateway
+        self._fleet = fleet
+        self._timers = timers
+        self._metrics = metrics
+        self._token = fencing_token
+        self._lease_s = lease_s
+        self._wake_session = wake_session
+        self._look_now = look_now
+        self._on_rejected = on_rejected
+        self._group: TaskGroup | None = None
+
+    def open(self, group: TaskGroup) -> None:
+        """Send orders in a task group from now on."""
+        self._group = group
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._group = None
+
+    def start(
+        self, placement: Placement, task: TaskRef, *, payload: str, checkpoint: str, ticket: str
+    ) -> None:
+        """Order a start."""
+        assert self._group is not None
+        lease = placement.worker.lease
+        order = StartOrder(
+            task=task,
+            attempt=placement.attempt,
+            payload=payload,
+            deadline_ms=lease.grant(now=placement.placed_at, seconds=self._lease_s),
+            fencing_token=self._token,
+            checkpoint=checkpoint,
+            ticket=ticket,
+        )
+        self._group.start_soon(self._send_start, placement, order)
+
+    async def _send_start(self, placement: Placement, order: StartOrder) -> None:
+        worker = placement.worker
+        try:
+            answer = await self._gateway.start(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
+        except WorkerReplacedError:
+            worker.has_left = True
+            self._wake_session(worker.id)
+            return
+        except WorkerUnreachableError as error:
+            self._note_unanswered(placement, order.task, error)
+            return
+        now = self._timers.now()
+        worker.note_answer()
+        if answer.clock_ms is not None:
+            worker.lease.note_clock(answer.clock_ms, received_at=now)
+        if answer.outcome is not OrderOutcome.ACCEPTED:
+            self._note_rejected(placement, answer.outcome)
+            return
+        if placement.phase is Phase.STARTING:
+            placement.phase = Phase.RUNNING
+            placement.confirmed_at = now
+        self._wake_session(worker.id)
+
+    def _note_unanswered(
+        self, placement: Placement, task: TaskRef, error: WorkerUnreachableError
+    ) -> None:
+        """Make sure that a start without an answer is not carried out later."""
+        is_paused = placement.worker.note_silence(self._timers.now())
+        self._metrics.count_retry(RetryReason.START_UNANSWERED)
+        logger.warning(
+            "start unanswered",
+            job=placement.key[0],
+            worker=placement.worker.id,
+            why=str(error),
+            worker_paused=is_paused,
+        )
+        self.stop(placement, task, reason="its start was not answered")
+
+    def _note_rejected(self, placement: Placement, outcome: OrderOutcome) -> None:
+        """Take back a start that surely did nothing."""
+        worker = placement.worker
+        logger.info("start rejected", job=placement.key[0], worker=worker.id, outcome=outcome.value)
+        self._metrics.count_retry(RetryReason.START_REJECTED)
+        worker.release(placement)
+        self._on_rejected(placement, outcome)
+
+    def stop(self, placement: Placement, task: TaskRef, *, reason: str) -> None:
+        """Order a stop, again until it is answered or the placement has ended."""
+        if placement.is_stop_ordered or placement.phase is Phase.ENDED or self._group is None:
+            return
+        placement.is_stop_ordered = True
+        placement.phase = Phase.STOPPING
+        placement.confirmed_at = float("inf")
+        logger.info(
+            "task stop ordered", job=placement.key[0], worker=placement.worker.id, why=reason
+        )
+        order = StopOrder(task=task, attempt=placement.attempt, fencing_token=self._token)
+        self._group.start_soon(self._send_stop, placement, order)
+
+    async def _send_stop(self, placement: Placement, order: StopOrder) -> None:
+        worker = placement.worker
+        while placement.phase is not Phase.ENDED and self._fleet.get(worker.id) is worker:
+            try:
+                answer = await self._gateway.stop(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
+            except WorkerReplacedError:
+                worker.has_left = True
+                break
+            except WorkerUnreachableError as error:
+                logger.info("stop unanswered", worker=worker.id, why=str(error))
+                await self._timers.sleep(STOP_RETRY_S)
+                continue
+            if answer.outcome is OrderOutcome.ACCEPTED:
+                placement.confirmed_at = self._timers.now()
+                worker.note_answer()
+                break
+            logger.warning("stop rejected", worker=worker.id, outcome=answer.outcome.value)
+            await self._timers.sleep(STOP_RETRY_S)
+        self._look_now(worker.id)
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/roster.py
@@ -0,0 +1,122 @@
+"""The workers of a term: recorded before their first start, forgotten after their last end."""
+
+from collections.abc import Callable
+
+from anyio.abc import TaskGroup
+
+from ..replication.replica import Replica
+from ..schema import cell_pb2, jobs_pb2, peers_pb2
+from ..utils.logs import get_logger
+from ..utils.timers import TimerService
+from .fleet import Fleet, FleetWorker
+from .session import WorkerSession
+
+logger = get_logger(__name__)
+
+
+class WorkerRoster:
+    """Takes workers up as they announce themselves, each with a session of its own."""
+
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        fleet: Fleet,
+        timers: TimerService,
+        make_session: Callable[[FleetWorker], WorkerSession],
+        on_usable: Callable[[], None],
+        on_draining: Callable[[FleetWorker], None],
+    ) -> None:
+        self._replica = replica
+        self._fleet = fleet
+        self._timers = timers
+        self._make_session = make_session
+        self._on_usable = on_usable
+        self._on_draining = on_draining
+        self._sessions: dict[str, WorkerSession] = {}
+        self._enlisting: set[str] = set()
+        self._group: TaskGroup | None = None
+
+    def open(self, group: TaskGroup) -> None:
+        """Run sessions in a task group from now on."""
+        self._group = group
+
+    def close(self) -> None:
+        """Take up nobody any more."""
+        self._group = None
+
+    def inherit(self, message: jobs_pb2.CalledWorker, *, lease_s: float) -> None:
+        """Take up a worker that an earlier leader may have given work to."""
+        now = self._timers.now()
+        worker = self._fleet.add(message)
+        worker.is_accounted = False
+        worker.beat_at = now
+        worker.lease.assume_granted(now=now, seconds=lease_s)
+        self._open_session(worker)
+
+    def _open_session(self, worker: FleetWorker) -> None:
+        assert self._group is not None
+        session = self._make_session(worker)
+        self._sessions[worker.id] = session
+        self._group.start_soon(session.run)
+
+    def wake(self, worker_id: str) -> None:
+        """Have a worker looked at soon."""
+        session = self._sessions.get(worker_id)
+        if session is not None:
+            session.wake()
+
+    def look_now(self, worker_id: str) -> None:
+        """Have a worker looked at at once."""
+        session = self._sessions.get(worker_id)
+        if session is not None:
+            session.look_now()
+
+    async def take_beat(self, beat: peers_pb2.WorkerBeat) -> None:
+        """Take note of a worker's announcement once it may be relied on."""
+        worker = self._fleet.get(beat.worker.id)
+        if worker is None:
+            if beat.leaves:
+                return
+            worker = await self._enlist(beat.worker)
+            if worker is None:
+                return
+        now = self._timers.now()
+        was_usable = worker.is_usable(now)
+        if self._fleet.take_beat(worker, beat, now=now):
+            logger.info("worker drains", worker=worker.id, remaining_ms=beat.remaining_ms)
+            self._on_draining(worker)
+        if beat.leaves:
+            logger.info("worker leaves", worker=worker.id, tasks=len(worker.placements))
+            self.wake(worker.id)
+        if worker.is_usable(now) and not was_usable:
+            self._on_usable()
+
+    async def _enlist(self, message: jobs_pb2.CalledWorker) -> FleetWorker | None:
+        """Have a worker recorded before anything is started there."""
+        if message.id in self._enlisting:
+            return None
+        self._enlisting.add(message.id)
+        try:
+            command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[message]))
+            await self._replica.propose(command)
+        finally:
+            self._enlisting.discard(message.id)
+        worker = self._fleet.get(message.id)
+        if worker is None and self._group is not None:
+            worker = self._fleet.add(message)
+            self._open_session(worker)
+            logger.info("worker enlisted", worker=worker.id, pool=message.pool)
+            for earlier in self._fleet.find_by_address(message.address, other_than=message.id):
+                # Its session sees that another incarnation answers there.
+                self.wake(earlier.id)
+        return worker
+
+    async def discharge(self, worker: FleetWorker) -> None:
+        """Forget a worker on which nothing runs."""
+        self._fleet.remove(worker.id)
+        self._sessions.pop(worker.id, None)
+        logger.info("worker discharged", worker=worker.id)
+        command = cell_pb2.Command(discharge_workers=jobs_pb2.DischargeWorkers(ids=[worker.id]))
+        await self._replica.propose(command)
+        self._on_usable()
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -156,7 +156,7 @@
         deadline = worker.lease.grant(now=sent_at, seconds=self._lease_s) if is_renewed else None
         order = HoldOrder(
             fencing_token=self._token,
-            ack_cursor=self._committed,
+            acknowledged_through=self._committed,
             deadline_ms=deadline,
             wait_ms=int(wait_s * 1000),
         )
@@ -180,7 +180,7 @@
             logger.warning("hold rejected", worker=worker.id, outcome=answer.outcome.value)
             await self._timers.sleep(RETRY_PAUSE_S)
             return
-        self._acknowledged = order.ack_cursor
+        self._acknowledged = order.acknowledged_through
         await self._take_over(answer, sent_at=sent_at)
 
     async def _note_unreachable(self, error: WorkerUnreachableError) -> None:
--- a/src/dewspindle/_internal/platform/worker_calls.py
+++ b/src/dewspindle/_internal/platform/worker_calls.py
@@ -108,7 +108,7 @@
         """Renew the lease and read both lists."""
         body = {
             "fencing_token": order.fencing_token,
-            "ack_cursor": order.ack_cursor,
+            "ack_cursor": order.acknowledged_through,
             "wait_ms": order.wait_ms,
         }
         if order.deadline_ms is not None:
