--- /dev/null
+++ b/features/steps/history_steps.py
@@ -0,0 +1,128 @@
+import random
+
+from behave import then, when
+
+from dewspindle._internal.exceptions import NotLeaderError, OutcomeUnknownError
+from dewspindle._internal.schema import cell_pb2, jobs_pb2
+from features.lib.job_cell import HOST, PREFIX
+from features.steps.job_steps import (
+    advance,
+    heal_all,
+    hit_worker,
+    launch,
+    make_plan,
+    make_step,
+    take_job_id,
+)
+from features.steps.replication_steps import FAULTS
+
+JOBS_PER_S = 4
+CANCELLED_SHARE = 0.1
+FAULTS_PER_S = 0.6
+NODE_FAULTS = ("kill", "pause", "two-way partition", "one-way partition", "lost answers")
+WORKER_FAULTS = ("crash", "cut off", "freeze", "lost answers", "late orders", "failing", "hanging")
+
+
+def make_random_plan(choose):
+    kind = choose.choice(("single", "steps", "gang", "failing"))
+    if kind == "gang":
+        return make_plan(make_step(choose.randint(2, 8), gang=True), run_s=choose.uniform(0.3, 3))
+    if kind == "steps":
+        first, second = make_step(choose.randint(1, 4)), make_step(2, depends_on=[0])
+        return make_plan(first, second, run_s=choose.uniform(0.3, 2))
+    if kind == "failing":
+        return make_plan(make_step(1), failures=1, run_s=0.5)
+    return make_plan(make_step(choose.randint(1, 6)), run_s=choose.uniform(0.3, 3))
+
+
+async def put_version(context, version):
+    cell = context.cell
+    leader = cell.leader
+    if leader is None or leader.replica is None:
+        return
+    queue = jobs_pb2.Queue(
+        name=f"queue-{version}", host=HOST, path_prefix=PREFIX, pool="pool", max_attempts=50
+    )
+    table = jobs_pb2.QueueTable(version=version, queues=[queue])
+    try:
+        await leader.replica.propose(cell_pb2.Command(queue_table=table))
+    except (NotLeaderError, OutcomeUnknownError):
+        return
+    context.acknowledged_version = max(context.acknowledged_version, version)
+
+
+async def submit_and_cancel(context, job_id, plan, cancel_after_s):
+    await context.cell.submit(job_id, plan)
+    if cancel_after_s is not None:
+        await context.cell.fleet.timers.sleep(cancel_after_s)
+        await context.cell.cancel(job_id)
+
+
+def strike(context, choose):
+    cell = context.cell
+    if choose.random() < 0.4:
+        up = [node for node in cell.nodes if node.is_up and not node.timers.is_paused]
+        leader = [node for node in up if node is cell.leader]
+        victim = leader[0] if leader and choose.random() < 0.6 else choose.choice(cell.nodes)
+        if len(up) > 1 and victim in up:
+            FAULTS[choose.choice(NODE_FAULTS)](cell, victim)
+        return
+    hit_worker(context, choose.choice(WORKER_FAULTS), choose.choice(cell.fleet.workers))
+
+
+@when("random faults strike for {seconds:d} seconds while jobs come and go, with seed {seed:d}")
+def when_random(context, seconds, seed):
+    choose = random.Random(seed)
+    context.acknowledged_version = 0
+    launch(context, put_version, context, 2)
+    for second in range(seconds):
+        for _ in range(JOBS_PER_S):
+            is_cancelled = choose.random() < CANCELLED_SHARE
+            after_s = choose.uniform(0, 2) if is_cancelled else None
+            plan = make_random_plan(choose)
+            launch(context, submit_and_cancel, context, take_job_id(context), plan, after_s)
+        if choose.random() < FAULTS_PER_S:
+            context.run(strike_soon(context, choose))
+        if second % 5 == 4:
+            launch(context, put_version, context, 3 + second)
+        if choose.random() < 0.3:
+            context.run(heal_all(context.cell))
+        advance(context, 1)
+
+
+async def strike_soon(context, choose):
+    strike(context, choose)
+
+
+@when("the faults end and {seconds:d} seconds of jobs pass")
+def when_all_heal(context, seconds):
+    context.run(heal_all(context.cell))
+    advance(context, seconds)
+
+
+@then("every accepted job ended as it should")
+def then_ended(context):
+    cell = context.cell
+    fleet = cell.fleet
+    assert len(fleet.accepted) > 10, fleet.accepted
+    wrong = {}
+    for job_id in sorted(fleet.accepted):
+        state = cell.get_state(job_id)
+        allowed = [jobs_pb2.JOB_SUCCEEDED]
+        if job_id in fleet.cancelled_at:
+            allowed.append(jobs_pb2.JOB_CANCELLED)
+        if state not in allowed:
+            wrong[job_id] = state
+    assert not wrong, (len(fleet.accepted), wrong, cell.describe())
+
+
+@then("every acknowledged cancellation and configuration stands")
+def then_stands(context):
+    cell = context.cell
+    for job_id in cell.fleet.cancelled_at:
+        assert cell.get_state(job_id) != jobs_pb2.JOB_OPEN, job_id
+    running = {task.job for worker in cell.fleet.workers for task in worker.runs}
+    assert not running & set(cell.fleet.cancelled_at), running
+    leader = cell.leader
+    table = leader.replica.context.view.state.job_store.queue_table
+    assert table.version >= context.acknowledged_version, table.version
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -227,21 +227,21 @@
 
 @when("{first:d} seconds pass, the faults end, and {second:d} more pass")
 def when_faults_end(context, first, second):
-    cell = context.cell
-
-    async def heal():
-        for worker in cell.fleet.workers:
-            worker.is_cut_off = worker.loses_answers = worker.delays_orders = False
-            worker.fails_everything = worker.hangs_everything = False
-            if worker.timers.is_paused:
-                worker.timers.go_on()
-        cell.heal()
-
     advance(context, first)
-    context.run(heal())
+    context.run(heal_all(context.cell))
     advance(context, second)
 
 
+async def heal_all(cell):
+    """End every fault."""
+    for worker in cell.fleet.workers:
+        worker.is_cut_off = worker.loses_answers = worker.delays_orders = False
+        worker.fails_everything = worker.hangs_everything = False
+        if worker.timers.is_paused:
+            worker.timers.go_on()
+    cell.heal()
+
+
 @when("{seconds:d} seconds of jobs pass")
 def when_seconds_pass(context, seconds):
     advance(context, seconds)
