--- a/features/steps/formation_steps.py
+++ b/features/steps/formation_steps.py
@@ -2,6 +2,7 @@
 
 from dewspindle._internal.models.enums import Role
 from features.lib.job_cell import JobCell
+from features.lib.stepping import advance
 from features.steps.replication_steps import host_cell
 
 FLAGS = {
@@ -13,11 +14,6 @@
 }
 
 
-def advance(context, seconds):
-    for _ in range(int(seconds * 2)):
-        context.run(context.cell.clock.advance(0.5))
-
-
 def make_seeded_cell(context, size, *, may_form=True):
     cell = JobCell(context.folder, size=size, seed=1, workers=0, **FLAGS)
     seeds = ",".join(node.address for node in cell.nodes[:3])
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -5,8 +5,8 @@
 from dewspindle._internal.exceptions import NotLeaderError, OutcomeUnknownError
 from dewspindle._internal.schema import cell_pb2, jobs_pb2
 from features.lib.job_cell import HOST, PREFIX
+from features.lib.stepping import advance
 from features.steps.job_steps import (
-    advance,
     heal_all,
     hit_worker,
     launch,
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -3,6 +3,7 @@
 from dewspindle._internal.schema import jobs_pb2, resources_pb2
 from features.lib.called_fleet import Plan
 from features.lib.job_cell import JobCell
+from features.lib.stepping import advance
 from features.steps.replication_steps import FAULTS, host_cell, start_cell
 
 FLAGS = {"election_timeout_ms": "500", "leader_lease_ms": "400", "heartbeat_interval_ms": "100"}
@@ -28,12 +29,6 @@
     context.run(go())
 
 
-def advance(context, seconds):
-    """Move the time second by second, each a run of its own under the harness's limit."""
-    for _ in range(seconds):
-        context.run(context.cell.clock.advance(1))
-
-
 def take_job_id(context):
     context.jobs += 1
     context.last_job = f"{context.jobs:016x}"
--- a/features/steps/task_steps.py
+++ b/features/steps/task_steps.py
@@ -5,6 +5,7 @@
 from dewspindle._internal.models.tasks import FINAL_RECORD_STATES
 from dewspindle._internal.schema import cell_pb2
 from features.lib.fleet import Fleet
+from features.lib.stepping import advance
 from features.steps.replication_steps import FAULTS, make_cell, start_cell
 
 SMALL = {"processors": 1000, "memory_mb": 1024}
@@ -151,8 +152,7 @@
 def when_pass_and_end(context, first, second):
     fleet, cell = context.fleet, context.cell
 
-    async def go_on():
-        await cell.clock.advance(first)
+    async def heal():
         assert context.struck, "the fault never struck"
         fleet.hooks.clear()
         cell.heal()
@@ -163,14 +163,15 @@
                 worker.timers.go_on()
             if worker.standin is None:
                 worker.start()
-        await cell.clock.advance(second)
 
-    context.run(go_on())
+    advance(context, first)
+    context.run(heal())
+    advance(context, second)
 
 
 @when("{seconds:d} seconds pass")
 def when_pass(context, seconds):
-    context.run(context.cell.clock.advance(seconds))
+    advance(context, seconds)
 
 
 def describe(record):
