Leave a gang's member alone that waits for the others

A member that has ended its part uses no processor until all end together. Change: a gang's task stands still only where all its members do. Test: 'A member of a gang that waits for the others is left alone' failed before, passes now; tasks that really stand still are still moved.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -45,6 +45,13 @@
     When 15 seconds of jobs pass
     Then every accepted job succeeded
 
+  Scenario: A member of a gang that waits for the others is left alone
+    Given a cell of 3 replicas that calls 6 workers
+    And a gang of 3 tasks of 6 seconds of which one ends its part at once
+    When 12 seconds of jobs pass
+    Then every accepted job succeeded
+    And each task started once
+
   Scenario: A worker that fails all it starts costs few tasks an attempt
     Given a cell of 3 replicas that calls 6 workers
     And 1 worker that fails every task
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -56,6 +56,7 @@
     spec: jobs_pb2.JobSpec
     run_s: float = 1.0
     failures: int = 0  # Attempts of each task that fail.
+    idle_index: int | None = None  # Member of a gang that ends its part at once and waits.
 
 
 class CalledWorker:
@@ -340,6 +341,7 @@
         elif worker.hangs_everything:
             run.used = 0.0
         elif step.gang:
+            run.used = 0.0 if task.index == plan.idle_index else 1000.0
             self._start_gang(task, order.attempt, plan, step.count)
         elif not step.long_running:
             is_failing = self.failed[task] < plan.failures
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -77,6 +77,13 @@
     add_job(context, make_plan(make_step(count, gang=True), run_s=seconds))
 
 
+@given("a gang of {count:d} tasks of {seconds:d} seconds of which one ends its part at once")
+def given_uneven_gang(context, count, seconds):
+    plan = make_plan(make_step(count, gang=True), run_s=seconds)
+    plan.idle_index = 0
+    add_job(context, plan)
+
+
 @given("a gang that needs every worker whole")
 def given_wide_gang(context):
     size = len(context.cell.fleet.workers)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -48,6 +48,14 @@
     early_ms: int = 0  # How much before its time an occurrence may start.
 
 
+def is_stuck(placement: Placement, now: float) -> bool:
+    """Tell whether a task has used no processor for long.
+
+    One idle member of a gang says nothing: it may have ended its part and wait for the others.
+    """
+    return placement.idle_since is not None and now - placement.idle_since >= STUCK_AFTER_S
+
+
 class JobDispatcher(StateListener):
     """Runs the open jobs during one term."""
 
@@ -246,7 +254,7 @@
             return
         if placement.idle_since is None:
             placement.idle_since = now
-        elif now - placement.idle_since >= STUCK_AFTER_S:
+        elif all(is_stuck(member, now) for member in unit.placements.values()):
             worker = placement.worker
             logger.warning("task stands still", job=placement.key[0], worker=worker.id)
             worker.note_trouble(now)
