Take out properties and fields that nothing reads

Cause: reading the whole change again found two fields and four properties that were written for plans that did not come about. Change: they are gone; no behaviour changed.

--- a/src/dewspindle/_internal/job_instances.py
+++ b/src/dewspindle/_internal/job_instances.py
@@ -99,11 +99,6 @@
         """Return the client of whichever instance leads."""
         return self._leader
 
-    @property
-    def view(self) -> CellView:
-        """Return the copy of the cell state."""
-        return self._view
-
     @property
     def book(self) -> AddressBook:
         """Return the known addresses of replicas."""
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -114,16 +114,6 @@
         )
         self._is_settled = False
 
-    @property
-    def fleet(self) -> Fleet:
-        """Return the workers."""
-        return self._fleet
-
-    @property
-    def is_settled(self) -> bool:
-        """Tell whether it is known what an earlier leader started."""
-        return self._is_settled
-
     async def run(self) -> None:
         """Dispatch until cancelled."""
         self._view.state.subscribe(self)
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -65,7 +65,6 @@
     trouble: int = 0
     unanswered: int = 0  # Orders in a row.
     failures_in_row: int = 0
-    speed: float = 1.0  # Learnt from the run times of its tasks; above 1 is faster than the rest.
 
     @property
     def id(self) -> str:
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -63,7 +63,6 @@
         self.units: dict[int, UnitRun] = {}
         self.waiting: dict[int, UnitRun] = {}
         self.left = 0
-        self.blocked_reason = ""
 
     @property
     def key(self) -> tuple[JobId, int, int]:
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -93,11 +93,6 @@
         self._is_urgent = False
         self._looking: anyio.CancelScope | None = None
 
-    @property
-    def worker(self) -> FleetWorker:
-        """Return the worker."""
-        return self._worker
-
     def wake(self) -> None:
         """Look at the worker soon."""
         self._wake.set()
