Ask the advisor from entries as well

Cause: the advisor serves one call an instance. Ruled out: naming fewer workers a call, as a third to two thirds are refused. Change: entries serve the ADVISE request and name their address when they relay; the leader spreads questions over replicas and recent entries, long ones to entries first, short ones to replicas, itself last.

--- /dev/null
+++ b/features/advice.feature
@@ -0,0 +1,29 @@
+Feature: The advisor is asked from many instances, so that steps wait little for it
+
+  Scenario: Entries share the load of long questions with the replicas
+    Given 4 replicas and 8 entries that ask the advisor, which takes 0.6 seconds
+    When 10 steps need its advice at the same time
+    Then every step has its advice within 0.8 seconds
+
+  Scenario: A short question goes to a replica though entries are free
+    Given 4 replicas and 8 entries that ask the advisor, which takes 0.01 seconds
+    When 1 step needs its advice at the same time
+    Then only replicas were asked, and not the leader
+
+  Scenario: A helper that never answers costs a step less than half a second
+    Given 4 replicas and 8 entries that ask the advisor, which takes 0.02 seconds
+    And the first helper asked never answers
+    When 1 step needs its advice at the same time
+    Then every step has its advice within 0.5 seconds
+
+  Scenario: An entry that has fallen silent is not asked
+    Given 4 replicas and 8 entries that ask the advisor, which takes 0.6 seconds
+    And the entries relay nothing for 4 seconds
+    When 2 steps need its advice at the same time
+    Then only replicas were asked, and not the leader
+
+  Scenario: An advisor that is slower than it says is waited for in the end
+    Given 4 replicas and 8 entries that ask the advisor, which takes 2.5 seconds
+    And the advisor says that it takes 0.9 seconds
+    When 1 step needs its advice at the same time
+    Then every step has its advice within 5 seconds
--- /dev/null
+++ b/features/steps/advice_steps.py
@@ -0,0 +1,115 @@
+import anyio
+from behave import given, then, when
+
+from dewspindle._internal.jobs.advice import AdviceDesk, AdviceRequest
+from dewspindle._internal.jobs.helpers import HelperBook
+from dewspindle._internal.models.ids import JobId
+from dewspindle._internal.replication.transport import PeerUnreachableError
+from dewspindle._internal.schema import peers_pb2
+from dewspindle._internal.utils.metrics import Metrics
+from features.lib.clock import ManualClock, ManualTimerService
+
+LEADER = "10.0.0.1:7000"
+
+
+class AdvisedSteps:
+    """A desk with its helpers, and the steps that ask."""
+
+    def __init__(self, *, replicas, entries, seconds):
+        self.clock = ManualClock()
+        self.timers = ManualTimerService(self.clock)
+        self.call_s = self.expected_s = seconds
+        self.loses_first = False
+        self.asked = []
+        self.entries = [f"10.1.0.{number}:7000" for number in range(entries)]
+        addresses = [f"10.0.0.{number + 2}:7000" for number in range(replicas)]
+        self.book = HelperBook(
+            own_address=LEADER, list_replicas=lambda: addresses, timers=self.timers
+        )
+        self.note_entries()
+        self.desk = AdviceDesk(
+            list_helpers=self.book.list_helpers,
+            call=self.call,
+            timers=self.timers,
+            metrics=Metrics(instance="i", zone="z"),
+            on_answer=lambda: None,
+        )
+        self.keys = []
+
+    def note_entries(self):
+        for address in self.entries:
+            self.book.note_entry(address)
+
+    async def call(self, helper, request):
+        self.asked.append(helper)
+        is_lost = self.loses_first and len(self.asked) == 1
+        seconds = 60.0 if is_lost else self.call_s
+        limit_s = request.timeout_ms / 1000
+        await self.timers.sleep(min(seconds, limit_s))
+        if seconds > limit_s:
+            raise PeerUnreachableError(helper)
+        answer = peers_pb2.AdviseAnswer(validity_ms=60_000)
+        for worker in request.workers:
+            answer.approvals.add(worker=worker, ticket="t")
+        return answer
+
+    @property
+    def is_answered(self):
+        now = self.timers.now()
+        return all(self.desk.get(key).has_ticket("w", now) for key in self.keys)
+
+    async def ask(self, count, *, seconds):
+        """Ask as the planner does, round by round, until all is answered or the time is over."""
+        self.keys = [(JobId(f"{number:016x}"), 0, 0) for number in range(count)]
+        began_at = self.clock.now
+        async with anyio.create_task_group() as group:
+            self.desk.start(group)
+            while not self.is_answered and self.clock.now < began_at + seconds:
+                for key in self.keys:
+                    if not self.desk.get(key).has_ticket("w", self.timers.now()):
+                        self.desk.ask(AdviceRequest(key, ["w"], self.expected_s, rank=(0,)))
+                self.desk.dispatch()
+                await self.clock.advance(0.01)
+            group.cancel_scope.cancel()
+        self.took_s = self.clock.now - began_at
+
+
+@given(
+    "{replicas:d} replicas and {entries:d} entries that ask the advisor, "
+    "which takes {seconds:f} seconds"
+)
+def given_helpers(context, replicas, entries, seconds):
+    context.steps = AdvisedSteps(replicas=replicas, entries=entries, seconds=seconds)
+
+
+@given("the first helper asked never answers")
+def given_lost_helper(context):
+    context.steps.loses_first = True
+
+
+@given("the advisor says that it takes {seconds:f} seconds")
+def given_expectation(context, seconds):
+    context.steps.expected_s = seconds
+
+
+@given("the entries relay nothing for {seconds:d} seconds")
+def given_silent(context, seconds):
+    context.run(context.steps.clock.advance(seconds))
+
+
+@when("{count:d} step needs its advice at the same time")
+@when("{count:d} steps need its advice at the same time")
+def when_asked(context, count):
+    context.run(context.steps.ask(count, seconds=8.0))
+
+
+@then("every step has its advice within {seconds:g} seconds")
+def then_advised(context, seconds):
+    assert context.steps.is_answered
+    assert context.steps.took_s <= seconds, context.steps.took_s
+
+
+@then("only replicas were asked, and not the leader")
+def then_replicas(context):
+    asked = context.steps.asked
+    assert asked and all(a.startswith("10.0.") and a != LEADER for a in asked), asked
--- a/src/dewspindle/_internal/job_instances.py
+++ b/src/dewspindle/_internal/job_instances.py
@@ -10,7 +10,8 @@
 from .http.server import HttpServer
 from .jobs.dispatcher import DispatchLimits
 from .jobs.duties import JobDuties
-from .jobs.gateway import AdvisorBusyError, AdvisorGateway, WorkerGateway, WorkerUnreachableError
+from .jobs.gateway import AdvisorGateway, WorkerGateway
+from .jobs.helpers import AdviceHelper, HelperBook
 from .jobs.relay import JobRelay
 from .network import methods
 from .network.leader_client import LeaderClient
@@ -20,7 +21,6 @@
 from .replication.address_book import AddressBook
 from .replication.formation import Formation
 from .replication.replica import Replica, load_context
-from .replication.transport import PeerUnreachableError
 from .schema import peers_pb2, settings_pb2
 from .utils.logs import get_logger
 from .utils.metrics import Metrics
@@ -57,7 +57,7 @@
     ) -> None:
         self._settings = settings
         self._timers = timers
-        self._advisor = advisor
+        self._advice_helper = AdviceHelper(advisor)
         self._view = CellView(timers=timers, fence_after_s=settings.fence_after_ms / 1000)
         self._peer_client = PeerClient(settings)
         self._peer_server = PeerServer(settings)
@@ -85,7 +85,11 @@
             view=self._view,
             gateway=gateway,
             advise=self._call_advisor,
-            list_helpers=self._list_helpers,
+            helpers=HelperBook(
+                own_address=settings.peer_address,
+                list_replicas=self._list_live_replicas,
+                timers=timers,
+            ),
             limits=limits,
             timers=timers,
             metrics=metrics,
@@ -116,7 +120,7 @@
         self._peer_server.register(methods.TRANSFER, handlers.handle_transfer)
         self._peer_server.register(methods.HELLO, self._answer_hello)
         self._peer_server.register(methods.FORM, self._formation.handle_form)
-        self._peer_server.register(methods.ADVISE, self._answer_advise)
+        self._advice_helper.register(self._peer_server)
         self._duties.register(self._leader, self._peer_server)
 
     async def _answer_hello(self, request: peers_pb2.HelloRequest) -> peers_pb2.HelloAnswer:
@@ -124,50 +128,27 @@
         answer.leads = self._replica.holds_lease and self._duties.dispatcher is not None
         return answer
 
-    async def _answer_advise(self, request: peers_pb2.AdviseRequest) -> peers_pb2.AdviseAnswer:
-        """Ask the advisor from this instance, for the leader."""
-        if self._advisor is None:
-            raise PeerUnreachableError("no advisor is set")
-        try:
-            advice = await self._advisor.advise(
-                request.job,
-                request.occurrence,
-                request.step,
-                list(request.workers),
-                timeout_s=request.timeout_ms / 1000,
-            )
-        except AdvisorBusyError:
-            return peers_pb2.AdviseAnswer(busy=True)
-        answer = peers_pb2.AdviseAnswer(validity_ms=int(advice.validity_s * 1000))
-        for worker, ticket in advice.tickets.items():
-            answer.approvals.add(worker=worker, ticket=ticket)
-        return answer
-
     async def _call_advisor(
         self, helper: str, request: peers_pb2.AdviseRequest
     ) -> peers_pb2.AdviseAnswer:
         if helper == self._settings.peer_address:
-            try:
-                return await self._answer_advise(request)
-            except WorkerUnreachableError as error:
-                raise PeerUnreachableError(str(error)) from None
+            return await self._advice_helper.answer(request)
         return await self._peer_client.call(
             helper, methods.ADVISE, request, timeout_s=request.timeout_ms / 1000
         )
 
-    def _list_helpers(self) -> list[str]:
-        """Return the instances that may ask the advisor, the leader itself last."""
+    def _list_live_replicas(self) -> list[str]:
+        """Return the other replicas that answered the leader a moment ago."""
         leadership = self._replica.leadership
         if leadership is None:
             return []
         now = self._timers.now()
         alive_s = self._settings.election_timeout_ms / 1000
-        others = [
+        return [
             link.peer.address
             for link in leadership.links.values()
             if now - link.confirmed_at < alive_s
         ]
-        return [self._settings.peer_address, *others]
 
     def begin_shutdown(self) -> None:
         """Begin a graceful shutdown."""
@@ -208,6 +189,7 @@
         self,
         settings: settings_pb2.Settings,
         *,
+        advisor: AdvisorGateway | None,
         timers: TimerService,
         metrics: Metrics,
         seed: random.Random,
@@ -215,6 +197,8 @@
         self._settings = settings
         self._timers = timers
         self._peer_client = PeerClient(settings)
+        self._peer_server = PeerServer(settings)
+        AdviceHelper(advisor).register(self._peer_server)
         self._book = AddressBook(settings)
         self._tracker = LeaderTracker(
             settings=settings, book=self._book, caller=self._peer_client, timers=timers, seed=seed
@@ -227,7 +211,9 @@
             metrics=metrics,
             attempt_timeout_s=LEADER_ATTEMPT_S,
         )
-        self._relay = JobRelay(leader, timers=timers)
+        self._relay = JobRelay(
+            leader, timers=timers, helper_address=settings.peer_address if advisor else ""
+        )
         self._shutdown = anyio.Event()
         self._servers: list[HttpServer] = []
 
@@ -256,6 +242,7 @@
 
     async def run(self) -> None:
         """Run until a graceful shutdown has ended."""
+        await self._peer_server.start()
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._tracker.run)
@@ -270,6 +257,7 @@
                 group.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True):
+                await self._peer_server.stop()
                 await self._peer_client.close()
 
 
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -13,12 +13,17 @@
 from ..utils.metrics import Metrics
 from ..utils.refusals import RetryReason
 from ..utils.timers import TimerService
+from .helpers import Helper
 
 StepKey = tuple[JobId, int, int]
 AdviceCall = Callable[[str, peers_pb2.AdviseRequest], Awaitable[peers_pb2.AdviseAnswer]]
 
 TICKET_MARGIN_S = 0.15  # A start takes this long at most to reach a worker on a calm network.
-TIMEOUT_FACTOR = 2.0  # Times the expected duration of a call, beside the slack below.
+# A call takes what the queue's figures say, so a lost helper shows soon after that.
+FIRST_TIMEOUT_FACTOR = 1.3
+FIRST_TIMEOUT_SLACK_S = 0.3  # An instance that is busy takes this long at most on the way.
+# Where that did not do, the advisor itself may be slow.
+TIMEOUT_FACTOR = 2.0
 TIMEOUT_SLACK_S = 1.0
 RETRY_PAUSE_S = 0.25
 LONG_CALL_S = 0.15  # Calls above this leave one instance free for shorter ones.
@@ -35,6 +40,7 @@
     expires_at: dict[str, float] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     is_pending: bool = False
+    failures: int = 0  # Calls in a row without an answer.
     retry_at: float = float("-inf")
 
     def has_ticket(self, worker_id: str, now: float) -> bool:
@@ -55,6 +61,23 @@
     expected_s: float
     rank: tuple[float, ...]
 
+    @property
+    def is_long(self) -> bool:
+        """Tell whether the call would keep shorter ones waiting."""
+        return self.expected_s > LONG_CALL_S
+
+
+def choose_helper(free: Iterable[Helper], *, is_long: bool, used_at: dict[str, float]) -> Helper:
+    """Return the helper for a call: replicas for short ones, the leader last, each in turn."""
+    return min(
+        free,
+        key=lambda helper: (
+            helper.is_leader,
+            helper.is_replica == is_long,
+            used_at.get(helper.address, float("-inf")),
+        ),
+    )
+
 
 def estimate_call_s(advisor: jobs_pb2.Advisor, count: int) -> float:
     """Return how long the advisor takes over a number of workers."""
@@ -67,7 +90,7 @@
     def __init__(
         self,
         *,
-        list_helpers: Callable[[], Iterable[str]],
+        list_helpers: Callable[[], Iterable[Helper]],
         call: AdviceCall,
         timers: TimerService,
         metrics: Metrics,
@@ -82,6 +105,7 @@
         self._waiting: dict[StepKey, AdviceRequest] = {}
         self._busy: dict[str, bool] = {}  # Helpers with a call in flight; whether it is a long one.
         self._bad_until: dict[str, float] = {}
+        self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
 
     def start(self, group: TaskGroup) -> None:
@@ -113,23 +137,24 @@
         if self._group is None or not self._waiting:
             return
         now = self._timers.now()
-        helpers = [h for h in self._list_helpers() if self._bad_until.get(h, 0.0) <= now]
-        free = [helper for helper in helpers if helper not in self._busy]
+        helpers = [h for h in self._list_helpers() if self._bad_until.get(h.address, 0.0) <= now]
+        free = {helper for helper in helpers if helper.address not in self._busy}
         for request in sorted(self._waiting.values(), key=lambda item: item.rank):
             if not free:
                 return
-            is_long = request.expected_s > LONG_CALL_S
-            if is_long and 1 < len(helpers) <= sum(self._busy.values()) + 1:
+            if request.is_long and 1 < len(helpers) <= sum(self._busy.values()) + 1:
                 continue
-            helper = free.pop()
+            helper = choose_helper(free, is_long=request.is_long, used_at=self._used_at)
+            free.remove(helper)
             del self._waiting[request.key]
-            self._busy[helper] = is_long
-            self._group.start_soon(self._ask_helper, helper, request)
+            self._busy[helper.address] = request.is_long
+            self._used_at[helper.address] = now
+            self._group.start_soon(self._ask_helper, helper.address, request)
 
     async def _ask_helper(self, helper: str, request: AdviceRequest) -> None:
         job, occurrence, step = request.key
         started_at = self._timers.now()
-        timeout_s = request.expected_s * TIMEOUT_FACTOR + TIMEOUT_SLACK_S
+        timeout_s = self._choose_timeout(request)
         message = peers_pb2.AdviseRequest(
             job=job,
             occurrence=occurrence,
@@ -149,6 +174,11 @@
         self._metrics.record("dewspindle_advice_seconds", now - started_at)
         self._finish(helper, request, answer)
 
+    def _choose_timeout(self, request: AdviceRequest) -> float:
+        if self.get(request.key).failures == 0:
+            return request.expected_s * FIRST_TIMEOUT_FACTOR + FIRST_TIMEOUT_SLACK_S
+        return request.expected_s * TIMEOUT_FACTOR + TIMEOUT_SLACK_S
+
     def _finish(
         self, helper: str, request: AdviceRequest, answer: peers_pb2.AdviseAnswer | None
     ) -> None:
@@ -167,8 +197,11 @@
     ) -> None:
         now = self._timers.now()
         if answer is None or answer.busy:
-            advice.retry_at = now + RETRY_PAUSE_S
+            # Another helper is asked at once, unless the advisor itself gives no answers.
+            advice.retry_at = now + (RETRY_PAUSE_S if advice.failures else 0.0)
+            advice.failures += 1
             return
+        advice.failures = 0
         approved = {approval.worker: approval.ticket for approval in answer.approvals}
         advice.tickets.update(approved)
         advice.expires_at.update(dict.fromkeys(approved, now + answer.validity_ms / 1000))
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -21,6 +21,7 @@
 from .end_reporter import EndReporter
 from .fleet import Fleet, FleetWorker, Phase, Placement, TaskKey
 from .gateway import ActiveTask, OrderOutcome, WorkerGateway
+from .helpers import Helper
 from .orders import OrderDesk
 from .planning import JobPlanner, Start
 from .roster import WorkerRoster
@@ -66,7 +67,7 @@
         view: CellView,
         gateway: WorkerGateway,
         advise: AdviceCall,
-        list_helpers: Callable[[], list[str]],
+        list_helpers: Callable[[], list[Helper]],
         limits: DispatchLimits,
         timers: TimerService,
         metrics: Metrics,
--- a/src/dewspindle/_internal/jobs/duties.py
+++ b/src/dewspindle/_internal/jobs/duties.py
@@ -1,7 +1,5 @@
 """What the leader of a cell that runs jobs does, and the requests that only it answers."""
 
-from collections.abc import Callable
-
 import anyio
 
 from ..cell.view import CellView
@@ -20,6 +18,7 @@
 from .advice import AdviceCall
 from .dispatcher import DispatchLimits, JobDispatcher
 from .gateway import WorkerGateway
+from .helpers import HelperBook
 from .intake import JobIntake
 
 logger = get_logger(__name__)
@@ -36,7 +35,7 @@
         view: CellView,
         gateway: WorkerGateway,
         advise: AdviceCall,
-        list_helpers: Callable[[], list[str]],
+        helpers: HelperBook,
         limits: DispatchLimits,
         timers: TimerService,
         metrics: Metrics,
@@ -46,7 +45,7 @@
         self._view = view
         self._gateway = gateway
         self._advise = advise
-        self._list_helpers = list_helpers
+        self._helpers = helpers
         self._limits = limits
         self._timers = timers
         self._metrics = metrics
@@ -87,7 +86,7 @@
             view=self._view,
             gateway=self._gateway,
             advise=self._advise,
-            list_helpers=self._list_helpers,
+            list_helpers=self._helpers.list_helpers,
             limits=self._limits,
             timers=self._timers,
             metrics=self._metrics,
@@ -131,6 +130,7 @@
         self._check_lease()
         if self._intake is None:
             raise NotLeaderError("this replica does not dispatch yet")
+        self._helpers.note_entry(request.helper_address)
         return await self._intake.answer(request)
 
     async def _relay_beat(self, request: peers_pb2.RelayBeatRequest) -> peers_pb2.RelayBeatAnswer:
--- a/src/dewspindle/_internal/jobs/relay.py
+++ b/src/dewspindle/_internal/jobs/relay.py
@@ -31,8 +31,9 @@
 class Lane:
     """Requests of one kind, so that quick ones need not wait for those that commit."""
 
-    def __init__(self, leader: LeaderClient) -> None:
+    def __init__(self, leader: LeaderClient, *, helper_address: str) -> None:
         self._leader = leader
+        self._helper_address = helper_address
         self._waiting: list[Relayed] = []
         self._flights = 0
         self._wake = Signal()
@@ -62,7 +63,9 @@
             group.start_soon(self._fly, batch)
 
     async def _fly(self, batch: Sequence[Relayed]) -> None:
-        request = peers_pb2.RelayJobsRequest(requests=[item.request for item in batch])
+        request = peers_pb2.RelayJobsRequest(
+            requests=[item.request for item in batch], helper_address=self._helper_address
+        )
         try:
             # Jobs carry their callers' ids, so a request that is sent twice changes nothing.
             answer = await self._leader.send(
@@ -84,10 +87,12 @@
 class JobRelay:
     """Sends requests about jobs to the leader."""
 
-    def __init__(self, leader: LeaderClient, *, timers: TimerService) -> None:
+    def __init__(
+        self, leader: LeaderClient, *, timers: TimerService, helper_address: str = ""
+    ) -> None:
         self._timers = timers
-        self._reads = Lane(leader)
-        self._changes = Lane(leader)
+        self._reads = Lane(leader, helper_address=helper_address)
+        self._changes = Lane(leader, helper_address=helper_address)
 
     async def run(self) -> None:
         """Send until cancelled."""
--- a/src/dewspindle/_internal/platform/programs.py
+++ b/src/dewspindle/_internal/platform/programs.py
@@ -20,7 +20,7 @@
 from ..utils.logs import LogFormat, configure_logs, get_logger
 from ..utils.metrics import Metrics, declare_reasons
 from ..utils.refusals import Refusal, RetryReason
-from ..utils.timers import SystemTimerService
+from ..utils.timers import SystemTimerService, TimerService
 from .advisor_calls import AdvisorCalls
 from .client_app import ClientApp
 from .control_app import ControlApp
@@ -67,6 +67,13 @@
     )
 
 
+def make_advisor(platform: PlatformSettings, timers: TimerService) -> AdvisorCalls | None:
+    """Return the calls to the advisor, where there is one."""
+    if not platform.advisor_address:
+        return None
+    return AdvisorCalls(platform.advisor_address, timers=timers)
+
+
 def make_entry(
     platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
 ) -> tuple[JobInstance, AddressBook]:
@@ -75,7 +82,11 @@
         raise InvalidSettingError("an entry needs 'client_addr' and 'readiness'")
     timers = SystemTimerService()
     instance = EntryInstance(
-        make_settings(platform), timers=timers, metrics=metrics, seed=random.Random()
+        make_settings(platform),
+        advisor=make_advisor(platform, timers),
+        timers=timers,
+        metrics=metrics,
+        seed=random.Random(),
     )
     app = ClientApp(relay=instance.relay, timers=timers, metrics=metrics)
     instance.add_server(HttpServer(app, address=platform.client_address))
@@ -92,9 +103,6 @@
     if not platform.control_address or not platform.data_dir:
         raise InvalidSettingError("a replica needs 'admin' and a data folder")
     timers = SystemTimerService()
-    advisor = (
-        AdvisorCalls(platform.advisor_address, timers=timers) if platform.advisor_address else None
-    )
     limits = DispatchLimits(
         lease_s=min(LEASE_MS, platform.max_lease_ms) / 1000,
         keep_ended_ms=platform.keep_ended_ms + KEEP_MARGIN_MS,
@@ -103,7 +111,7 @@
     instance = ReplicaInstance(
         make_settings(platform),
         gateway=WorkerCalls(timers=timers),
-        advisor=advisor,
+        advisor=make_advisor(platform, timers),
         limits=limits,
         timers=timers,
         metrics=metrics,
