Tell a file that a full disk refuses as a full disk

The probe of a full disk puts a file in place, and creating that file failed with ENOSPC, which only writes were told apart for. A new segment of the log had the same fault, and would have been kept in the list without its file. Ruled out: memory and the election, by the traceback in the replica's log. Change: Disk.create tells ENOSPC and EDQUOT apart; the log lists a segment once its file is there. Before and after: two of the new scenarios of features/storage.feature fail on the code before and pass; the scenario of the segment passes on both, as the stand-in could not refuse a creation before.

--- a/features/lib/disk.py
+++ b/features/lib/disk.py
@@ -16,6 +16,11 @@
         self.delay_s = 0.0
         self._unsynced: dict[int, list[tuple[int, bytes]]] = {}
 
+    def create(self, path: Path) -> int:
+        if self.is_full:
+            raise DiskFullError("the disk is full")
+        return super().create(path)
+
     def write(self, descriptor: int, data: bytes, *, offset: int) -> None:
         if self.is_full:
             raise DiskFullError("the disk is full")
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -1,7 +1,9 @@
 import asyncio
+import errno
 import random
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 from hypothesis import HealthCheck, settings, strategies
@@ -146,6 +148,38 @@
     raise AssertionError("the full disk was not seen")
 
 
+@when("the disk is full as a new segment begins, and has room again")
+def when_full_at_segment(context):
+    disk = FaultyDisk()
+    store = open_store(context, disk)
+    store.load()
+    store._segment_bytes = 1
+    for is_full in (True, True, False):
+        disk.is_full = is_full
+        try:
+            store.append(make_entries(31, 3))
+        except DiskFullError:
+            assert is_full
+        else:
+            assert not is_full
+    store.close()
+
+
+@when("a file is put in place and its creation fails with {name}")
+def when_creation_fails(context, name):
+    refusal = OSError(getattr(errno, name), name)
+    try:
+        with mock.patch("os.open", side_effect=refusal):
+            Disk().replace_file(context.folder / "file", b"data")
+    except Exception as error:
+        context.told = type(error).__name__
+
+
+@then("that is told as {told}")
+def then_told(context, told):
+    assert context.told == told, context.told
+
+
 async def run_history(folder, seed, steps):
     """Run changes beside faults, and check that the outcomes fit one order of changes."""
     cell = ReplicaCell(folder, size=3, seed=seed, snapshot_entries="15", retained_entries="0")
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -33,5 +33,20 @@
     When the disk is full for one batch
     Then the log loads 30 entries
 
+  Scenario: A full disk that refuses a new segment leaves the log in use
+    Given a log of 10 batches of 3 entries
+    When the disk is full as a new segment begins, and has room again
+    Then the log loads 33 entries
+
+  Scenario Outline: A file that the disk has no room for is told as a full disk
+    When a file is put in place and its creation fails with <error>
+    Then that is told as <told>
+
+    Examples:
+      | error  | told         |
+      | ENOSPC | DiskFullError |
+      | EDQUOT | DiskFullError |
+      | EACCES | PermissionError |
+
   Scenario: A randomized run of changes and faults is linearizable
     Then 15 random histories of changes and faults are linearizable
--- a/src/dewspindle/_internal/replication/disk.py
+++ b/src/dewspindle/_internal/replication/disk.py
@@ -12,6 +12,15 @@
 class Disk:
     """The system calls that make data durable, with their failures told apart."""
 
+    def create(self, path: Path) -> int:
+        """Open an empty file of a name; raise `DiskFullError` where there is no room for it."""
+        try:
+            return os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o640)
+        except OSError as error:
+            if error.errno in _FULL_ERRNOS:
+                raise DiskFullError(f"the disk is full: {error}") from error
+            raise
+
     def write(self, descriptor: int, data: bytes, *, offset: int) -> None:
         """Write all data at an offset; raise `DiskFullError` where there is no room."""
         view = memoryview(data)
@@ -48,7 +57,7 @@
     def replace_file(self, path: Path, data: bytes) -> None:
         """Put a whole file in place of the one of that name, durably."""
         temporary = path.with_name(path.name + ".new")
-        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o640)
+        descriptor = self.create(temporary)
         try:
             self.write(descriptor, data, offset=0)
             self.sync(descriptor)
--- a/src/dewspindle/_internal/replication/log_store.py
+++ b/src/dewspindle/_internal/replication/log_store.py
@@ -112,11 +112,12 @@
         if self._segments and self._segments[-1].length < self._segment_bytes:
             return self._segments[-1]
         path = self._folder / f"{first_index:020d}{SEGMENT_SUFFIX}"
+        descriptor = self._disk.create(path)
         self._close()
+        self._descriptor = descriptor
         self._segments.append(
             Segment(path=path, first_index=first_index, last_index=0, length=0, offsets=[])
         )
-        self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o640)
         self._disk.sync_folder(self._folder)
         return self._segments[-1]
 
