Hold tasks of a cut-off worker long only after a silence

Cause: where one order came late, every worker that was lost kept its tasks for 18 s, also one whose connections were refused or reset, which cannot carry out an order that it never had. Change: only a call that was silent until its time-out counts as on its way, and a late order makes others likely for 12 s, as long as they take. The HTTP client bounds a call itself, in place of a cancel scope for each.

--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -19,6 +19,7 @@
     StopOrder,
     WorkerEndpoint,
     WorkerReplacedError,
+    WorkerSilentError,
     WorkerUnreachableError,
 )
 from dewspindle._internal.models.jobs import TaskRef
@@ -211,6 +212,9 @@
         assert isinstance(answer, HoldAnswer)
         return answer
 
+    async def close(self) -> None:
+        """Have nothing to close."""
+
     async def _carry(
         self, endpoint: WorkerEndpoint, call: Callable[[CalledWorker], Any], timeout_s: float
     ) -> Any:
@@ -218,7 +222,7 @@
             with self._timers.fail_after(timeout_s):
                 return await self._deliver(endpoint, call)
         except TimeoutError:
-            raise WorkerUnreachableError("no answer in time") from None
+            raise WorkerSilentError("no answer in time") from None
 
     async def _deliver(self, endpoint: WorkerEndpoint, call: Callable[[CalledWorker], Any]) -> Any:
         clock = self._fleet.timers
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -25,7 +25,6 @@
 from dewspindle._internal.platform.settings_file import decode_platform_settings
 from dewspindle._internal.platform.worker_calls import WorkerCalls
 from dewspindle._internal.utils.metrics import Metrics
-from dewspindle._internal.utils.timers import SystemTimerService
 from features.lib.cells import find_free_address
 from features.lib.wire_worker import WireWorker
 
@@ -205,7 +204,7 @@
     async def begin():
         context.wire = WireWorker()
         context.serving = asyncio.ensure_future(context.wire.server.run())
-        context.calls = WorkerCalls(timers=SystemTimerService())
+        context.calls = WorkerCalls()
 
     async def end():
         await context.calls.close()
--- a/src/dewspindle/_internal/job_instances.py
+++ b/src/dewspindle/_internal/job_instances.py
@@ -57,6 +57,7 @@
     ) -> None:
         self._settings = settings
         self._timers = timers
+        self._gateway = gateway
         self._advice_helper = AdviceHelper(advisor)
         self._view = CellView(timers=timers, fence_after_s=settings.fence_after_ms / 1000)
         self._peer_client = PeerClient(settings)
@@ -173,6 +174,8 @@
             with anyio.CancelScope(shield=True):
                 await self._peer_server.stop()
                 await self._peer_client.close()
+                await self._gateway.close()
+                await self._advice_helper.close()
                 self._replica.close()
 
     async def _run_replica(self) -> None:
@@ -198,7 +201,8 @@
         self._timers = timers
         self._peer_client = PeerClient(settings)
         self._peer_server = PeerServer(settings)
-        AdviceHelper(advisor).register(self._peer_server)
+        self._advice_helper = AdviceHelper(advisor)
+        self._advice_helper.register(self._peer_server)
         self._book = AddressBook(settings)
         self._tracker = LeaderTracker(
             settings=settings, book=self._book, caller=self._peer_client, timers=timers, seed=seed
@@ -259,6 +263,7 @@
             with anyio.CancelScope(shield=True):
                 await self._peer_server.stop()
                 await self._peer_client.close()
+                await self._advice_helper.close()
 
 
 async def stop_servers(servers: list[HttpServer]) -> None:
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -17,7 +17,7 @@
 SHUN_LIMIT_S = 16.0
 SILENCES_TO_SHUN = 2  # Orders without an answer in a row; a single one may be lost on its way.
 SILENCE_PAUSE_S = 1.0
-LATENESS_MEMORY_S = 20.0  # For which one late order makes others likely.
+LATENESS_MEMORY_S = 12.0  # For which one late order makes others likely: as long as they take.
 FAILURES_TO_SHUN = 2  # Tasks failed in a row that speak against the worker, not the tasks.
 
 
--- a/src/dewspindle/_internal/jobs/gateway.py
+++ b/src/dewspindle/_internal/jobs/gateway.py
@@ -12,6 +12,10 @@
     """No clear answer came; the order may be carried out, now or later."""
 
 
+class WorkerSilentError(WorkerUnreachableError):
+    """No answer came in time over a connection that held; the order may be on its way."""
+
+
 class WorkerReplacedError(Exception):
     """Another incarnation answers at the worker's address, so this one is gone."""
 
@@ -140,6 +144,9 @@
     ) -> HoldAnswer:
         """Renew the lease and read both lists."""
 
+    async def close(self) -> None:
+        """Close all connections."""
+
 
 class AdvisorGateway(Protocol):
     """Calls the advisor; raises `AdvisorBusyError` or `WorkerUnreachableError`."""
@@ -148,3 +155,6 @@
         self, job: str, occurrence: int, step: int, workers: list[str], *, timeout_s: float
     ) -> Advice:
         """Ask which of some workers may run a step."""
+
+    async def close(self) -> None:
+        """Close all connections."""
--- a/src/dewspindle/_internal/jobs/helpers.py
+++ b/src/dewspindle/_internal/jobs/helpers.py
@@ -61,6 +61,11 @@
         """Answer leaders that want the advisor asked from here."""
         server.register(methods.ADVISE, self.answer)
 
+    async def close(self) -> None:
+        """Close the connections to the advisor."""
+        if self._advisor is not None:
+            await self._advisor.close()
+
     async def answer(self, request: peers_pb2.AdviseRequest) -> peers_pb2.AdviseAnswer:
         """Ask the advisor; raise `ServerUnreachableError` where it gives none."""
         if self._advisor is None:
--- a/src/dewspindle/_internal/network/pooled_client.py
+++ b/src/dewspindle/_internal/network/pooled_client.py
@@ -23,19 +23,25 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def post(
-        self, address: str, path: str, *, body: Any, headers: dict[str, str]
+        self, address: str, path: str, *, body: Any, headers: dict[str, str], timeout_s: float
     ) -> JsonAnswer:
         """Send a request; raise `ServerUnreachableError` where nothing whole came back.
 
-        The caller limits the time.
+        Raises `TimeoutError` where the connection held and no answer came in time.
         """
         content = json.dumps(body, separators=(",", ":")).encode()
         fields = {"Content-Type": "application/json", **headers}
         try:
             async with self._get_session().post(
-                f"http://{address}{path}", data=content, headers=fields, allow_redirects=False
+                f"http://{address}{path}",
+                data=content,
+                headers=fields,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 answer = await response.read()
+        except TimeoutError:
+            raise
         except (aiohttp.ClientError, OSError) as error:
             raise ServerUnreachableError(f"{address}: {error or type(error).__name__}") from None
         names = {name.lower(): value for name, value in response.headers.items()}
@@ -57,7 +63,6 @@
             )
             self._session = aiohttp.ClientSession(
                 connector=connector,
-                timeout=aiohttp.ClientTimeout(total=None),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
--- a/src/dewspindle/_internal/platform/programs.py
+++ b/src/dewspindle/_internal/platform/programs.py
@@ -110,7 +110,7 @@
     )
     instance = ReplicaInstance(
         make_settings(platform),
-        gateway=WorkerCalls(timers=timers),
+        gateway=WorkerCalls(),
         advisor=make_advisor(platform, timers),
         limits=limits,
         timers=timers,
--- a/src/dewspindle/_internal/platform/worker_calls.py
+++ b/src/dewspindle/_internal/platform/worker_calls.py
@@ -14,6 +14,7 @@
     StopOrder,
     WorkerEndpoint,
     WorkerReplacedError,
+    WorkerSilentError,
     WorkerUnreachableError,
 )
 from ..models.ids import JobId
@@ -29,7 +30,6 @@
     END_STOPPED,
 )
 from ..utils.logs import get_logger
-from ..utils.timers import TimerService
 
 EXPECTED_INSTANCE = "X-Dewspindle-Expected-Instance"  # The worker's incarnation, not an instance.
 CONNECTIONS_PER_WORKER = 8  # One waits for ends; the rest carry the starts of a gang.
@@ -71,8 +71,7 @@
 class WorkerCalls:
     """Calls workers over connections that are kept for each address."""
 
-    def __init__(self, *, timers: TimerService) -> None:
-        self._timers = timers
+    def __init__(self) -> None:
         self._client = PooledJsonClient(connections_per_address=CONNECTIONS_PER_WORKER)
 
     async def start(
@@ -120,12 +119,15 @@
         self, worker: WorkerEndpoint, path: str, body: dict[str, Any], timeout_s: float
     ) -> JsonAnswer:
         try:
-            with self._timers.fail_after(timeout_s):
-                answer = await self._client.post(
-                    worker.address, path, body=body, headers={EXPECTED_INSTANCE: worker.id}
-                )
+            answer = await self._client.post(
+                worker.address,
+                path,
+                body=body,
+                headers={EXPECTED_INSTANCE: worker.id},
+                timeout_s=timeout_s,
+            )
         except TimeoutError:
-            raise WorkerUnreachableError("no answer in time") from None
+            raise WorkerSilentError("no answer in time") from None
         except ServerUnreachableError as error:
             raise WorkerUnreachableError(error.detail) from None
         if answer.status == 421:
