Import only what a role runs

Entries held aiohttp (7.4 MB) and the replica's modules (1.6 MB) for nothing. Change: one module for each program, imported by its role; replica and entry have a module each; the advisor's calls take a client, aiohttp's in replicas, which import httpcore no more, and httpcore's in entries.

--- a/features/lib/fleet.py
+++ b/features/lib/fleet.py
@@ -10,7 +10,7 @@
 from dewspindle._internal.exceptions import DewspindleError, ServerUnreachableError
 from dewspindle._internal.models.enums import ReportState
 from dewspindle._internal.models.resources import NOTHING, Amounts
-from dewspindle._internal.network.json_client import JsonAnswer
+from dewspindle._internal.network.json_sender import JsonAnswer
 from dewspindle._internal.records.conversion import make_record
 from dewspindle._internal.schema import cell_pb2, documents_pb2, peers_pb2
 from dewspindle._internal.standins.worker import StandInWorker
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -17,10 +17,12 @@
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
 from dewspindle._internal.network.json_client import JsonClient
+from dewspindle._internal.network.pooled_client import PooledJsonClient
 from dewspindle._internal.platform.advisor_calls import decode_advice
 from dewspindle._internal.platform.beats import decode_beat
+from dewspindle._internal.platform.cell_program import make_cell
+from dewspindle._internal.platform.entry_program import make_entry
 from dewspindle._internal.platform.job_bodies import decode_job
-from dewspindle._internal.platform.programs import make_cell, make_entry
 from dewspindle._internal.platform.queue_table import decode_queue_table
 from dewspindle._internal.platform.settings_file import decode_platform_settings
 from dewspindle._internal.platform.worker_calls import WorkerCalls
@@ -204,7 +206,7 @@
     async def begin():
         context.wire = WireWorker()
         context.serving = asyncio.ensure_future(context.wire.server.run())
-        context.calls = WorkerCalls()
+        context.calls = WorkerCalls(PooledJsonClient(connections_per_address=8))
 
     async def end():
         await context.calls.close()
--- a/src/dewspindle/_internal/cli/session.py
+++ b/src/dewspindle/_internal/cli/session.py
@@ -10,7 +10,8 @@
 import typer
 
 from ..exceptions import ServerUnreachableError
-from ..network.json_client import JsonAnswer, JsonClient
+from ..network.json_client import JsonClient
+from ..network.json_sender import JsonAnswer
 from ..utils.addresses import parse_address
 from .exit_status import ExitStatus
 
--- /dev/null
+++ b/src/dewspindle/_internal/job_instance.py
@@ -0,0 +1,25 @@
+"""What the two kinds of instances of a cell that runs jobs have in common."""
+
+from typing import Protocol
+
+from .http.server import HttpServer
+
+LEADER_ATTEMPT_S = 0.6  # A commit takes 20 ms, and 0.3 s on a slow disk.
+
+
+class JobInstance(Protocol):
+    """What the program runs and stops."""
+
+    def begin_shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+
+    async def run(self) -> None:
+        """Run until a graceful shutdown has ended."""
+
+
+async def stop_servers(servers: list[HttpServer]) -> None:
+    """Stop accepting, and return once the open requests are answered."""
+    for server in servers:
+        server.stop()
+    for server in servers:
+        await server.stopped.wait()
--- a/src/dewspindle/_internal/job_instances.py
+++ b/src/dewspindle/_internal/job_replica.py
@@ -1,45 +1,29 @@
-"""The two kinds of instances of a cell that runs jobs: replicas, and entries for callers."""
+"""A replica of a cell that runs jobs."""
 
 import random
-from typing import Protocol
 
 import anyio
 
 from .cell import appliers  # noqa: F401  # Registers the commands.
 from .cell.view import CellView
 from .http.server import HttpServer
+from .job_instance import LEADER_ATTEMPT_S, stop_servers
+from .jobs.advice_helper import AdviceHelper
 from .jobs.dispatcher import DispatchLimits
 from .jobs.duties import JobDuties
 from .jobs.gateway import AdvisorGateway, WorkerGateway
-from .jobs.helpers import AdviceHelper, HelperBook
-from .jobs.relay import JobRelay
+from .jobs.helpers import HelperBook
 from .network import methods
 from .network.leader_client import LeaderClient
-from .network.leader_tracker import LeaderTracker
 from .network.peer_client import PeerClient
 from .network.peer_server import PeerServer
 from .replication.address_book import AddressBook
 from .replication.formation import Formation
 from .replication.replica import Replica, load_context
 from .schema import peers_pb2, settings_pb2
-from .utils.logs import get_logger
 from .utils.metrics import Metrics
 from .utils.timers import TimerService
 
-LEADER_ATTEMPT_S = 0.6  # A commit takes 20 ms, and 0.3 s on a slow disk.
-
-logger = get_logger(__name__)
-
-
-class JobInstance(Protocol):
-    """What the program runs and stops."""
-
-    def begin_shutdown(self) -> None:
-        """Begin a graceful shutdown."""
-
-    async def run(self) -> None:
-        """Run until a graceful shutdown has ended."""
-
 
 class ReplicaInstance:
     """A replica of the cell: it takes announcements and configuration, and may lead."""
@@ -183,92 +167,3 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._formation.watch_membership)
             group.start_soon(self._replica.run)
-
-
-class EntryInstance:
-    """An instance without state that relays callers' requests to the leader."""
-
-    def __init__(
-        self,
-        settings: settings_pb2.Settings,
-        *,
-        advisor: AdvisorGateway | None,
-        timers: TimerService,
-        metrics: Metrics,
-        seed: random.Random,
-    ) -> None:
-        self._settings = settings
-        self._timers = timers
-        self._peer_client = PeerClient(settings)
-        self._peer_server = PeerServer(settings)
-        self._advice_helper = AdviceHelper(advisor)
-        self._advice_helper.register(self._peer_server)
-        self._book = AddressBook(settings)
-        self._tracker = LeaderTracker(
-            settings=settings, book=self._book, caller=self._peer_client, timers=timers, seed=seed
-        )
-        leader = LeaderClient(
-            own_address="",
-            view=self._tracker,
-            caller=self._peer_client,
-            timers=timers,
-            metrics=metrics,
-            attempt_timeout_s=LEADER_ATTEMPT_S,
-        )
-        self._relay = JobRelay(
-            leader, timers=timers, helper_address=settings.peer_address if advisor else ""
-        )
-        self._shutdown = anyio.Event()
-        self._servers: list[HttpServer] = []
-
-    @property
-    def relay(self) -> JobRelay:
-        """Return the way to the leader."""
-        return self._relay
-
-    @property
-    def book(self) -> AddressBook:
-        """Return the known addresses of replicas."""
-        return self._book
-
-    @property
-    def is_ready(self) -> bool:
-        """Tell whether new connections may be sent here."""
-        return self._tracker.is_connected and not self._shutdown.is_set()
-
-    def add_server(self, server: HttpServer) -> None:
-        """Serve an application."""
-        self._servers.append(server)
-
-    def begin_shutdown(self) -> None:
-        """Begin a graceful shutdown."""
-        self._shutdown.set()
-
-    async def run(self) -> None:
-        """Run until a graceful shutdown has ended."""
-        await self._peer_server.start()
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._tracker.run)
-                group.start_soon(self._relay.run)
-                for server in self._servers:
-                    group.start_soon(server.run)
-                await self._shutdown.wait()
-                # Callers keep coming until the balancer has seen that this instance is not ready.
-                await self._timers.sleep(self._settings.ready_delay_ms / 1000)
-                with anyio.move_on_after(self._settings.drain_timeout_ms / 1000):
-                    await stop_servers(self._servers)
-                group.cancel_scope.cancel()
-        finally:
-            with anyio.CancelScope(shield=True):
-                await self._peer_server.stop()
-                await self._peer_client.close()
-                await self._advice_helper.close()
-
-
-async def stop_servers(servers: list[HttpServer]) -> None:
-    """Stop accepting, and return once the open requests are answered."""
-    for server in servers:
-        server.stop()
-    for server in servers:
-        await server.stopped.wait()
--- a/src/dewspindle/_internal/network/json_client.py
+++ b/src/dewspindle/_internal/network/json_client.py
@@ -1,21 +1,13 @@
 """Client of the HTTP interfaces, for the command line and the stand-ins."""
 
 import json
-from dataclasses import dataclass
 from typing import Any
 
+import anyio
 import httpcore
 
 from ..exceptions import ServerUnreachableError
-
-
-@dataclass(frozen=True, slots=True)
-class JsonAnswer:
-    """Status, headers and JSON body of an answer."""
-
-    status: int
-    headers: dict[str, str]
-    body: Any
+from .json_sender import JsonAnswer
 
 
 class JsonClient:
@@ -59,3 +51,27 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
+
+
+class AddressedJsonClient:
+    """Sends JSON to any address, over one client for each; for few addresses and rare calls."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, JsonClient] = {}
+
+    async def post(
+        self, address: str, path: str, *, body: Any, headers: dict[str, str], timeout_s: float
+    ) -> JsonAnswer:
+        """Send a request; raise `ServerUnreachableError` or `TimeoutError`."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = JsonClient(address)
+        with anyio.fail_after(timeout_s):
+            return await client.request(
+                "POST", path, body=body, headers=headers, timeout_s=timeout_s
+            )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            await client.close()
--- a/src/dewspindle/_internal/network/pooled_client.py
+++ b/src/dewspindle/_internal/network/pooled_client.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from ..exceptions import ServerUnreachableError
-from .json_client import JsonAnswer
+from .json_sender import JsonAnswer
 
 IDLE_CONNECTION_S = 60.0  # Longer than servers keep an idle connection, which they close first.
 
--- a/src/dewspindle/_internal/platform/advisor_calls.py
+++ b/src/dewspindle/_internal/platform/advisor_calls.py
@@ -4,9 +4,8 @@
 
 from ..exceptions import InvalidDocumentError, ServerUnreachableError
 from ..jobs.gateway import Advice, AdvisorBusyError, WorkerUnreachableError
-from ..network.json_client import JsonClient
+from ..network.json_sender import JsonSender
 from ..utils.logs import get_logger
-from ..utils.timers import TimerService
 from .fields import read_list, read_number
 
 logger = get_logger(__name__)
@@ -15,9 +14,9 @@
 class AdvisorCalls:
     """Asks the advisor, one call after the other."""
 
-    def __init__(self, address: str, *, timers: TimerService) -> None:
-        self._client = JsonClient(address, max_connections=2)
-        self._timers = timers
+    def __init__(self, address: str, client: JsonSender) -> None:
+        self._address = address
+        self._client = client
 
     async def advise(
         self, job: str, occurrence: int, step: int, workers: list[str], *, timeout_s: float
@@ -25,10 +24,9 @@
         """Ask which of some workers may run a step."""
         body = {"step_id": f"{job}.{occurrence}.{step}", "workers": workers}
         try:
-            with self._timers.fail_after(timeout_s):
-                answer = await self._client.request(
-                    "POST", "/advise", body=body, timeout_s=timeout_s
-                )
+            answer = await self._client.post(
+                self._address, "/advise", body=body, headers={}, timeout_s=timeout_s
+            )
         except TimeoutError:
             raise WorkerUnreachableError("the advisor did not answer in time") from None
         except ServerUnreachableError as error:
@@ -44,6 +42,11 @@
         await self._client.close()
 
 
+def make_advisor_calls(address: str, client: JsonSender) -> AdvisorCalls | None:
+    """Return the calls to the advisor, where the platform has one."""
+    return AdvisorCalls(address, client) if address else None
+
+
 def decode_advice(fields: dict[str, Any]) -> Advice:
     """Return the tickets; a row that cannot be read approves no worker, and the rest holds."""
     tickets = {}
--- /dev/null
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -0,0 +1,50 @@
+"""The program of a replica."""
+
+import random
+
+from ..exceptions import InvalidSettingError
+from ..http.server import HttpServer
+from ..job_instance import JobInstance
+from ..job_replica import ReplicaInstance
+from ..jobs.dispatcher import DispatchLimits
+from ..network.pooled_client import PooledJsonClient
+from ..replication.address_book import AddressBook
+from ..utils.metrics import Metrics
+from ..utils.timers import SystemTimerService
+from .advisor_calls import make_advisor_calls
+from .control_app import ControlApp
+from .probe_app import MetricsApp
+from .product_settings import METRICS_PORT, make_settings
+from .settings_file import PlatformSettings
+from .worker_calls import CONNECTIONS_PER_WORKER, WorkerCalls
+
+LEASE_MS = 6000  # Outlasts an election and the next leader's first round of calls.
+KEEP_MARGIN_MS = 30_000  # Beside the time for which ended jobs must be known.
+
+
+def make_cell(
+    platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
+) -> tuple[JobInstance, AddressBook]:
+    """Return a replica, with its servers and its calls to workers and the advisor."""
+    if not platform.control_address or not platform.data_dir:
+        raise InvalidSettingError("a replica needs 'admin' and a data folder")
+    timers = SystemTimerService()
+    client = PooledJsonClient(connections_per_address=CONNECTIONS_PER_WORKER)
+    limits = DispatchLimits(
+        lease_s=min(LEASE_MS, platform.max_lease_ms) / 1000,
+        keep_ended_ms=platform.keep_ended_ms + KEEP_MARGIN_MS,
+        early_ms=platform.early_ms // 2,
+    )
+    instance = ReplicaInstance(
+        make_settings(platform),
+        gateway=WorkerCalls(client),
+        advisor=make_advisor_calls(platform.advisor_address, client),
+        limits=limits,
+        timers=timers,
+        metrics=metrics,
+        seed=random.Random(),
+    )
+    app = ControlApp(leader=instance.leader, timers=timers)
+    instance.add_server(HttpServer(app, address=platform.control_address))
+    instance.add_server(HttpServer(MetricsApp(metrics), address=f"{platform.ip}:{metrics_port}"))
+    return instance, instance.book
--- /dev/null
+++ b/src/dewspindle/_internal/platform/entry_program.py
@@ -0,0 +1,39 @@
+"""The program that callers reach."""
+
+import random
+
+from ..exceptions import InvalidSettingError
+from ..http.server import HttpServer
+from ..job_entry import EntryInstance
+from ..job_instance import JobInstance
+from ..network.json_client import AddressedJsonClient
+from ..replication.address_book import AddressBook
+from ..utils.metrics import Metrics
+from ..utils.timers import SystemTimerService
+from .advisor_calls import make_advisor_calls
+from .client_app import ClientApp
+from .probe_app import MetricsApp, ReadinessApp
+from .product_settings import METRICS_PORT, make_settings
+from .settings_file import PlatformSettings
+
+
+def make_entry(
+    platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
+) -> tuple[JobInstance, AddressBook]:
+    """Return the instance that callers reach, with its servers."""
+    if not platform.client_address or not platform.readiness_address:
+        raise InvalidSettingError("an entry needs 'client_addr' and 'readiness'")
+    timers = SystemTimerService()
+    instance = EntryInstance(
+        make_settings(platform),
+        advisor=make_advisor_calls(platform.advisor_address, AddressedJsonClient()),
+        timers=timers,
+        metrics=metrics,
+        seed=random.Random(),
+    )
+    app = ClientApp(relay=instance.relay, timers=timers, metrics=metrics)
+    instance.add_server(HttpServer(app, address=platform.client_address))
+    readiness = ReadinessApp(is_ready=lambda: instance.is_ready)
+    instance.add_server(HttpServer(readiness, address=platform.readiness_address))
+    instance.add_server(HttpServer(MetricsApp(metrics), address=f"{platform.ip}:{metrics_port}"))
+    return instance, instance.book
--- /dev/null
+++ b/src/dewspindle/_internal/platform/product_settings.py
@@ -0,0 +1,40 @@
+"""The product's settings on the platform."""
+
+import secrets
+
+from ..schema import settings_pb2
+from ..settings.loading import load_settings
+from .settings_file import PlatformSettings
+
+METRICS_PORT = 9310  # Named in deploy/system.toml as well.
+REPLACE_SILENT_MS = 8000  # Longer than a machine is usually frozen, restarted or cut off.
+READY_DELAY_MS = 3500  # Two missed looks of the balancer, a second apart, and a margin.
+
+
+def make_settings(platform: PlatformSettings) -> settings_pb2.Settings:
+    """Return the product's settings for one process."""
+    seeds = ",".join(f"{host}:{platform.peer_port}" for host in platform.seed_hosts)
+    own_address = f"{platform.ip}:{platform.peer_port}"
+    return load_settings(
+        {
+            "instance_id": platform.instance_id,
+            "availability_zone": platform.availability_zone,
+            "peer_address": own_address,
+            "seeds": seeds or own_address,
+            "initial_voters": str(2 * platform.lost_at_once + 1),
+            "may_form": str(int(platform.may_form)),
+            "data_dir": platform.data_dir,
+            # The operator reaches this instance by the platform's interface only.
+            "operator_token": secrets.token_hex(),
+            "replace_silent_ms": str(REPLACE_SILENT_MS),
+            "drain_timeout_ms": str(platform.grace_ms // 3),
+            "election_timeout_ms": "700",
+            "leader_lease_ms": "550",
+            "heartbeat_interval_ms": "120",
+            "ready_delay_ms": str(min(READY_DELAY_MS, platform.grace_ms // 2)),
+            "snapshot_entries": "5000",
+            "retained_entries": "1000",
+            "segment_bytes": str(4 * 1024 * 1024),
+        },
+        environment={},
+    )
--- a/src/dewspindle/_internal/platform/worker_calls.py
+++ b/src/dewspindle/_internal/platform/worker_calls.py
@@ -19,8 +19,7 @@
 )
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
-from ..network.json_client import JsonAnswer
-from ..network.pooled_client import PooledJsonClient
+from ..network.json_sender import JsonAnswer, JsonSender
 from ..schema.jobs_pb2 import (
     END_ALONE,
     END_BROKEN,
@@ -71,8 +70,8 @@
 class WorkerCalls:
     """Calls workers over connections that are kept for each address."""
 
-    def __init__(self) -> None:
-        self._client = PooledJsonClient(connections_per_address=CONNECTIONS_PER_WORKER)
+    def __init__(self, client: JsonSender) -> None:
+        self._client = client
 
     async def start(
         self, worker: WorkerEndpoint, order: StartOrder, *, timeout_s: float
