Give a slow worker one task at a time

Ruled out: comparing with the estimate alone, which is off for every worker in the same way. Change: each worker's pace is learnt from the ends of single tasks against their estimates; one that is 2.5 times slower than the median after three ends gets one task at a time until that ends in the usual time.

--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -68,7 +68,7 @@
         self.number = number
         self.id = f"w{number}-{generation}"
         self.address = f"10.0.0.{number + 1}:80"
-        self.timers = ManualTimerService(fleet.clock)
+        self.timers = fleet.clock.make_timers()
         self.is_cut_off = False
         self.loses_answers = False
         self.delays_orders = False
@@ -77,6 +77,7 @@
         self.fails_everything = False
         self.hangs_everything = False
         self.is_draining = False
+        self.slowdown = 1.0  # Times as long as tasks take elsewhere.
         self.is_up = True
         self.runs: dict[TaskRef, Run] = {}
         self.ended: list[EndedTask] = []
@@ -258,7 +259,7 @@
     def __init__(self, cell: Any, *, size: int) -> None:
         self.cell = cell
         self.clock: ManualClock = cell.clock
-        self.timers = ManualTimerService(self.clock)
+        self.timers = self.clock.make_timers()
         self.workers = [CalledWorker(self, number) for number in range(size)]
         self.plans: dict[str, Plan] = {}
         self.starts: dict[TaskRef, list[tuple[str, int]]] = defaultdict(list)
@@ -366,7 +367,7 @@
             self._start_gang(task, order.attempt, plan, step.count)
         elif not step.long_running:
             is_failing = self.failed[task] < plan.failures
-            run.ends_at = run.started_at + plan.run_s
+            run.ends_at = run.started_at + plan.run_s * worker.slowdown
             run.kind = jobs_pb2.END_FAILED if is_failing else jobs_pb2.END_DONE
         for hook in list(self.hooks):
             hook("start", worker, task)
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -1,5 +1,7 @@
 """Workers that the leader calls: what they have, what runs there, and whether to use them."""
 
+import math
+import statistics
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -13,11 +15,15 @@
 TaskKey = tuple[JobId, int]
 
 BEAT_SILENCE_S = 5.0  # Three announcements of 1.5 s and a margin without one.
+SHORTEST_S = 0.05  # Tasks below this tell nothing of a pace.
 SHUN_BASE_S = 2.0  # First pause of a worker that failed its tasks or where they stood still.
 SHUN_LIMIT_S = 16.0
 SILENCES_TO_SHUN = 2  # Orders without an answer in a row; a single one may be lost on its way.
 SILENCE_PAUSE_S = 1.0
 LATENESS_MEMORY_S = 12.0  # For which one late order makes others likely: as long as they take.
+PACE_WEIGHT = 0.4  # Of the newest end; three slow ones in a row stand out.
+PACE_SAMPLES = 3  # Ends after which a worker's pace is judged.
+SLOW_FACTOR = 2.5  # Times the usual pace; estimates and machines differ by less.
 FAILURES_TO_SHUN = 2  # Tasks failed in a row that speak against the worker, not the tasks.
 
 
@@ -69,6 +75,8 @@
     missed_look: bool = False  # The last request for its lists got no answer.
     late_seen_at: float = float("-inf")  # When it last answered after a call without an answer.
     failures_in_row: int = 0
+    log_pace: float = 0.0  # Of the time that tasks take here, against their estimates.
+    pace_samples: int = 0
 
     def __post_init__(self) -> None:
         self.id = self.message.id
@@ -127,6 +135,18 @@
         self.shun_until = now + pause_s
         return pause_s
 
+    def note_pace(self, *, took_s: float, estimate_s: float) -> None:
+        """Learn how long tasks take here from one that ended well."""
+        sample = math.log(max(took_s, SHORTEST_S) / max(estimate_s, SHORTEST_S))
+        self.pace_samples += 1
+        weight = max(PACE_WEIGHT, 1 / self.pace_samples)
+        self.log_pace += weight * (sample - self.log_pace)
+
+    def is_slow(self, usual_log_pace: float) -> bool:
+        """Tell whether tasks take much longer here than elsewhere."""
+        excess = self.log_pace - usual_log_pace
+        return self.pace_samples >= PACE_SAMPLES and excess > math.log(SLOW_FACTOR)
+
     def note_end(self, kind: jobs_pb2.EndKind.ValueType, now: float) -> bool:
         """Learn from an end; return whether the worker is no longer used for a while."""
         if kind == jobs_pb2.END_DONE:
@@ -162,6 +182,11 @@
         self._workers[message.id] = worker
         return worker
 
+    def get_usual_log_pace(self) -> float:
+        """Return the median pace of the workers that are judged."""
+        paces = [worker.log_pace for worker in self if worker.pace_samples >= PACE_SAMPLES]
+        return statistics.median(paces) if paces else 0.0
+
     def sees_late_orders(self, now: float) -> bool:
         """Tell whether some worker left calls unanswered a short time ago and is well."""
         return any(now - worker.late_seen_at < LATENESS_MEMORY_S for worker in self)
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -50,10 +50,14 @@
         """Return the workers of a pool that may be used, by their ids."""
         usable = self._pools.get(pool)
         if usable is None:
+            pace = self._fleet.get_usual_log_pace()
             usable = {
                 worker.id: worker
                 for worker in self._fleet
-                if worker.message.pool == pool and worker.is_usable(self.now)
+                if worker.message.pool == pool
+                and worker.is_usable(self.now)
+                # A slow worker gets one task at a time, by which it may prove better.
+                and not (worker.placements and worker.is_slow(pace))
             }
             self._pools[pool] = usable
         return usable
