--- a/features/lib/clock.py
+++ b/features/lib/clock.py
@@ -38,6 +38,10 @@
         self._numbers = itertools.count()
         self._checks: list[Callable[[], None]] = []
 
+    def make_timers(self) -> "ManualTimerService":
+        """Return a timer service that follows the clock."""
+        return ManualTimerService(self)
+
     def add_check(self, check: Callable[[], None]) -> None:
         """Call a check each time that everything has settled."""
         self._checks.append(check)
