--- a/features/platform.feature
+++ b/features/platform.feature
@@ -88,3 +88,7 @@
     Given a replica and an entry on the platform's interfaces, with one worker on the wire
     When the operator puts a configuration, the worker announces itself and a caller hands in a job
     Then the job is shown as completed, and the worker was told what the pages say
+
+  Scenario: The signal that settings changed does not end a program that only begins to start
+    When the launcher is loaded
+    Then that signal is ignored until the program handles it
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,10 @@
 import asyncio
+import contextlib
 import json
 import random
+import runpy
+import signal
+from unittest import mock
 
 import anyio.lowlevel
 from behave import given, then, when
@@ -379,3 +383,19 @@
         "5c0e7a21d94b36f8.0.0.1",
     }
     assert all(fields["fencing_token"] >= 1 and fields["spec"] == "text" for fields in starts)
+
+
+@when("the launcher is loaded")
+def when_loaded(context):
+    before = signal.getsignal(signal.SIGHUP)
+    context.closers.append(lambda: signal.signal(signal.SIGHUP, before))
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    # The program's own modules take long to import, so the signal may come before they are.
+    missing = {"dewspindle._internal.platform.programs": None}
+    with mock.patch.dict("sys.modules", missing), contextlib.suppress(ImportError):
+        runpy.run_path("deploy/start.py", run_name="loaded")["start"]()
+
+
+@then("that signal is ignored until the program handles it")
+def then_ignored(context):
+    assert signal.getsignal(signal.SIGHUP) == signal.SIG_IGN
