--- a/features/advice.feature
+++ b/features/advice.feature
@@ -16,6 +16,18 @@
     When 1 step needs its advice at the same time
     Then every step has its advice within 0.5 seconds
 
+  Scenario: A helper that failed is not asked again while others are free
+    Given 4 replicas and 8 entries that ask the advisor, which takes 0.02 seconds
+    And the first helper asked never answers
+    When 40 steps need its advice one after the other
+    Then the first helper was asked once
+
+  Scenario: An advisor that fails everybody is asked again as soon as it is back
+    Given 1 replicas and 0 entries that ask the advisor, which takes 0.02 seconds
+    And the advisor fails for 2 seconds
+    When 1 step needs its advice at the same time
+    Then every step has its advice within 2.6 seconds
+
   Scenario: An entry that has fallen silent is not asked
     Given 4 replicas and 8 entries that ask the advisor, which takes 0.6 seconds
     And the entries relay nothing for 4 seconds
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -21,6 +21,7 @@
         self.timers = ManualTimerService(self.clock)
         self.call_s = self.expected_s = seconds
         self.loses_first = False
+        self.fails_until = 0.0
         self.asked = []
         self.entries = [f"10.1.0.{number}:7000" for number in range(entries)]
         addresses = [f"10.0.0.{number + 2}:7000" for number in range(replicas)]
@@ -43,7 +44,9 @@
 
     async def call(self, helper, request):
         self.asked.append(helper)
-        is_lost = self.loses_first and len(self.asked) == 1
+        if self.clock.now < self.fails_until:
+            raise PeerUnreachableError(helper)
+        is_lost = self.loses_first and helper == self.asked[0]
         seconds = 60.0 if is_lost else self.call_s
         limit_s = request.timeout_ms / 1000
         await self.timers.sleep(min(seconds, limit_s))
@@ -61,7 +64,8 @@
 
     async def ask(self, count, *, seconds):
         """Ask as the planner does, round by round, until all is answered or the time is over."""
-        self.keys = [(JobId(f"{number:016x}"), 0, 0) for number in range(count)]
+        first = len(self.keys)
+        self.keys = [(JobId(f"{first + number:016x}"), 0, 0) for number in range(count)]
         began_at = self.clock.now
         async with anyio.create_task_group() as group:
             self.desk.start(group)
@@ -104,6 +108,24 @@
     context.run(context.steps.ask(count, seconds=8.0))
 
 
+@given("the advisor fails for {seconds:d} seconds")
+def given_failing_advisor(context, seconds):
+    context.steps.fails_until = context.steps.clock.now + seconds
+
+
+@when("{count:d} steps need its advice one after the other")
+def when_asked_in_turn(context, count):
+    for _ in range(count):
+        context.run(context.steps.ask(1, seconds=8.0))
+        assert context.steps.is_answered
+
+
+@then("the first helper was asked once")
+def then_asked_once(context):
+    asked = context.steps.asked
+    assert asked.count(asked[0]) == 1, asked
+
+
 @then("every step has its advice within {seconds:g} seconds")
 def then_advised(context, seconds):
     assert context.steps.is_answered
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -1,6 +1,6 @@
 """Asking the advisor which workers may run a step, from several instances at once."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from anyio.abc import TaskGroup
@@ -26,6 +26,7 @@
 TIMEOUT_FACTOR = 2.0
 TIMEOUT_SLACK_S = 1.0
 RETRY_PAUSE_S = 0.25
+DOUBT_S = 3.0  # For which a helper that failed is asked last: until a lost one is known as such.
 LONG_CALL_S = 0.15  # Calls above this leave one instance free for shorter ones.
 
 logger = get_logger(__name__)
@@ -74,11 +75,21 @@
         return self.expected_s > LONG_CALL_S
 
 
-def choose_helper(free: Iterable[Helper], *, is_long: bool, used_at: dict[str, float]) -> Helper:
-    """Return the helper for a call: replicas for short ones, the leader last, each in turn."""
+def choose_helper(
+    free: Iterable[Helper],
+    *,
+    is_long: bool,
+    used_at: Mapping[str, float],
+    doubted: Collection[str] = (),
+) -> Helper:
+    """Return the helper for a call: replicas for short ones, the leader last, each in turn.
+
+    Helpers that failed a moment ago come after all others.
+    """
     return min(
         free,
         key=lambda helper: (
+            helper.address in doubted,
             helper.is_leader,
             helper.is_replica == is_long,
             used_at.get(helper.address, float("-inf")),
@@ -111,7 +122,7 @@
         self._steps: dict[StepKey, StepAdvice] = {}
         self._waiting: dict[StepKey, AdviceRequest] = {}
         self._busy: dict[str, bool] = {}  # Helpers with a call in flight; whether it is a long one.
-        self._bad_until: dict[str, float] = {}
+        self._doubted_until: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
 
@@ -144,14 +155,20 @@
         if self._group is None or not self._waiting:
             return
         now = self._timers.now()
-        helpers = [h for h in self._list_helpers() if self._bad_until.get(h.address, 0.0) <= now]
+        helpers = list(self._list_helpers())
+        self._doubted_until = {h: at for h, at in self._doubted_until.items() if at > now}
         free = {helper for helper in helpers if helper.address not in self._busy}
         for request in sorted(self._waiting.values(), key=lambda item: item.rank):
             if not free:
                 return
             if request.is_long and 1 < len(helpers) <= sum(self._busy.values()) + 1:
                 continue
-            helper = choose_helper(free, is_long=request.is_long, used_at=self._used_at)
+            helper = choose_helper(
+                free,
+                is_long=request.is_long,
+                used_at=self._used_at,
+                doubted=self._doubted_until,
+            )
             free.remove(helper)
             del self._waiting[request.key]
             self._busy[helper.address] = request.is_long
@@ -174,7 +191,7 @@
         except (PeerUnreachableError, DewspindleError) as error:
             logger.warning("advice failed", job=job, step=step, helper=helper, why=str(error))
             self._metrics.count_retry(RetryReason.ADVICE_FAILED)
-            self._bad_until[helper] = self._timers.now() + RETRY_PAUSE_S
+            self._doubted_until[helper] = self._timers.now() + DOUBT_S
             self._finish(helper, request, None)
             return
         now = self._timers.now()
