--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -1,3 +1,5 @@
+import itertools
+
 import anyio
 from behave import given, then, when
 
@@ -37,6 +39,7 @@
             on_answer=lambda: None,
         )
         self.keys = []
+        self.numbers = itertools.count()
 
     def note_entries(self):
         for address in self.entries:
@@ -64,8 +67,7 @@
 
     async def ask(self, count, *, seconds):
         """Ask as the planner does, round by round, until all is answered or the time is over."""
-        first = len(self.keys)
-        self.keys = [(JobId(f"{first + number:016x}"), 0, 0) for number in range(count)]
+        self.keys = [(JobId(f"{next(self.numbers):016x}"), 0, 0) for _ in range(count)]
         began_at = self.clock.now
         async with anyio.create_task_group() as group:
             self.desk.start(group)
