Vote sooner after a start

A replica that starts waited for a whole election time-out, though only the lease that it may have confirmed right before counts. Ruled out: imports (0.35 s, before that) and loading the log. Change: a replica that starts counts its last contact as one lease and 5 % ago in place of an election time-out: 0.58 s in place of 0.7. Before and after: the new scenario of features/replication_faults.feature fails before; it also checks that nobody votes while the lease may hold.

--- a/features/replication_faults.feature
+++ b/features/replication_faults.feature
@@ -138,3 +138,8 @@
     Then exactly one of them wins
     And each resend gets the first outcome
     And a resend after a change of leader gets the first outcome
+
+  Scenario: Replicas that start together vote once the last leader's lease is over, and not before
+    Given a cell of 3 replicas with a leader and 5 changes
+    When every replica is killed and started again
+    Then none of them votes until the lease is over, and each does soon after
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -315,3 +315,29 @@
 
 
 __all__ = ["peers_pb2"]
+
+
+@when("every replica is killed and started again")
+def when_all_restart(context):
+    async def restart():
+        for node in context.cell.nodes:
+            node.kill()
+        await context.cell.clock.settle()
+        for node in context.cell.nodes:
+            node.start()
+
+    context.run(restart())
+
+
+@then("none of them votes until the lease is over, and each does soon after")
+def then_votes_after_lease(context):
+    nodes = context.cell.nodes
+    lease_s = nodes[0].replica.context.settings.leader_lease_ms / 1000
+
+    def list_waiting():
+        return [node.replica.handlers._has_leader() for node in nodes]
+
+    context.run(context.cell.clock.advance(lease_s))
+    assert all(list_waiting())
+    context.run(context.cell.clock.advance(0.1 * lease_s))
+    assert not any(list_waiting())
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -30,6 +30,7 @@
 
 APPLY_BATCH = 256  # Entries between two turns of the event loop.
 MAX_PENDING = 20000  # Proposals that wait for their commit.
+LEASE_DRIFT = 1.05  # Clocks of two instances differ by less than this.
 
 logger = get_logger(__name__)
 
@@ -79,10 +80,19 @@
         metadata=metadata,
         metadata_store=metadata_store,
         commit_index=log.snapshot_index,
-        last_contact=timers.now(),
+        last_contact=timers.now() - compute_head_start(settings),
     )
 
 
+def compute_head_start(settings: settings_pb2.Settings) -> float:
+    """Return how much sooner than usual a replica that just starts may vote, in seconds.
+
+    It may have confirmed a leader right before, so it waits out that leader's lease, but no more.
+    """
+    lease_s = settings.leader_lease_ms / 1000 * LEASE_DRIFT
+    return max(0.0, settings.election_timeout_ms / 1000 - lease_s)
+
+
 class Replica:
     """Takes part in agreeing on the log and applies what is committed."""
 
