--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -35,6 +35,7 @@
 PLAN_REST = 3.0  # Times as long as a round the planner rests, so that answers are not held up.
 IDLE_INTERVAL_S = 0.25  # Longest time between two rounds while work waits, as tickets expire.
 EXPIRE_INTERVAL_S = 10.0
+REPORT_INTERVAL_S = 2.0
 IDLE_SHARE = 0.05  # Of the requested processors; a task that uses less does not get on.
 STUCK_AFTER_S = 2.0  # Longer than a gang waits for its members to be present.
 
@@ -127,6 +128,7 @@
                 self._take_stock()
                 group.start_soon(self._reporter.run)
                 group.start_soon(self._expire_jobs)
+                group.start_soon(self._report_load)
                 await self._plan_rounds()
         finally:
             self._roster.close()
@@ -472,6 +474,12 @@
             command = jobs_pb2.ExpireJobs(keep_ms=self._limits.keep_ended_ms)
             await self._replica.propose(cell_pb2.Command(expire_jobs=command))
 
+    async def _report_load(self) -> None:
+        """Log now and then what waits and what room there is."""
+        while True:
+            await self._timers.sleep(REPORT_INTERVAL_S)
+            logger.info("load", **self._planner.measure_load())
+
     # What callers ask.
 
     def count_waiting(self, queue: jobs_pb2.Queue) -> int:
