Forget the rank of a gang that waits no more

Cause: found by reading; ranks of gangs whose jobs ended while they waited stayed for the length of the term. Before and after: features/gangs.feature has a scenario that fails before.

--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -24,6 +24,12 @@
     And a third gang of 3 asks for workers
     Then 2 workers are kept in all
 
+  Scenario: A gang that waits no more leaves nothing behind
+    Given workers a to f that hold 3 members when empty, and 2 now on b, 1 on e and 0 on the others
+    When a gang of 5 asks for workers
+    And the gang waits no more
+    Then nothing is kept
+
   Scenario: A more pressing task passes, a less pressing one does not
     Given workers a to f that hold 3 members when empty, and 2 now on b, 1 on e and 0 on the others
     When a gang of 5 asks for workers
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -49,9 +49,15 @@
     assert all(context.kept.is_open(w, to="gang") for w in kept)
 
 
+@when("the gang waits no more")
+def when_gone(context):
+    context.kept.keep_only(is_waiting=lambda gang: False, usable=context.fits.keys())
+
+
 @then("nothing is kept")
 def then_nothing(context):
     assert len(context.kept) == 0
+    assert not context.kept._ranks, context.kept._ranks
 
 
 @then("{count:d} workers are kept in all")
--- a/src/dewspindle/_internal/scheduling/gang_reservation.py
+++ b/src/dewspindle/_internal/scheduling/gang_reservation.py
@@ -57,6 +57,8 @@
             for worker, holder in self._holders.items()
             if worker in usable and is_waiting(holder)
         }
+        holders = set(self._holders.values())
+        self._ranks = {gang: rank for gang, rank in self._ranks.items() if gang in holders}
 
     def top_up(
         self,
