--- a/soak/callers.py
+++ b/soak/callers.py
@@ -75,7 +75,7 @@
             await self.look(job)
 
     async def _submit(self, job: str, body: Any) -> bool:
-        """Hand a job in as the pages say, and tell whether it was accepted."""
+        """Hand a job in, again where that is allowed, and tell whether it was accepted."""
         may_run = False
         for _ in range(ATTEMPTS):
             answer = await self.call("POST", job, body=body)
