--- a/soak/runs.py
+++ b/soak/runs.py
@@ -1,5 +1,6 @@
 """One run of the soak: programs, stand-ins, faults and the verdict."""
 
+import os
 import random
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -36,7 +37,7 @@
         self.counts: Counter[str] = Counter()
         self.advisor = WireAdvisor()
         # A network of its own, so that several runs may go on at the same time.
-        network = f"127.{20 + self._random.randrange(200)}.{self._random.randrange(256)}"
+        network = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 256}"
         ips = [f"{network}.{number}" for number in range(1, 1 + replicas + entries)]
         seeds = self.format_seeds(ips[: min(3, replicas)])
         shared = {"seed_nodes": seeds, "advisor": self.advisor.proxy.address}
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -135,6 +135,10 @@
         task = parse_task_name(fields["task"])
         answer: OrderAnswer
         if path == "/run-start":
+            step = f"{task.job}.{task.occurrence}.{task.step}"
+            if fields.get("ticket") != make_ticket(step, worker.id):
+                self._fleet.broken.rules.append(f"ROUTE: {task} starts on {worker.id} unapproved")
+                return 409, {"reason": "ticket"}
             answer = worker.start(
                 StartOrder(task, fields["attempt"], fields["spec"], fields["deadline_ms"], token)
             )
@@ -215,6 +219,14 @@
                 return
 
 
+def make_ticket(step: str, worker: str) -> str:
+    """Return the ticket of a step for a worker, or an empty string where it may not run there."""
+    number = int(worker.removeprefix("w").partition("-")[0])
+    # Each step has workers that may run it, so that every job can be done.
+    is_approved = (number + random.Random(step).randrange(3)) % 3 > 0
+    return f"{step} {worker}" if is_approved else ""
+
+
 class WireAdvisor:
     """An advisor that approves two thirds of the workers, and always the same for a step."""
 
@@ -232,6 +244,7 @@
         """Answer one question."""
         fields = json.loads(await read_body(receive, max_bytes=1 << 20))
         await anyio.sleep(ADVICE_S)
-        approved = [w for w in fields["workers"] if random.Random(w).random() < 0.67]
-        rows = [[worker, f"t-{fields['step_id']}"] for worker in approved]
+        step = fields["step_id"]
+        tickets = {worker: make_ticket(step, worker) for worker in fields["workers"]}
+        rows = [[worker, ticket] for worker, ticket in tickets.items() if ticket]
         await send_json(send, 200, {"approved": rows, "validity_ms": VALIDITY_MS})
