--- a/soak/callers.py
+++ b/soak/callers.py
@@ -135,7 +135,8 @@
             while waiting:
                 for job in sorted(waiting):
                     await self.look(job)
-                waiting -= self.completed
+                # A caller may cancel its job only now.
+                waiting -= self.completed | self.cancelled
                 await anyio.sleep(PAUSE_S)
         self.broken += [f"LOST: {job} has not completed" for job in sorted(waiting)]
 
