Judge workers' paces no more

Reading: a step's tasks share one wrong estimate and are packed on one worker, so seven ends there are one sample; the median of seven does not help.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -157,13 +157,3 @@
     Given a cell of 3 replicas that calls 2 workers
     When a worker announces itself and drains at once
     Then it is known to drain
-
-  Scenario: A slow worker gets few tasks, and its share again once it is well
-    Given a cell of 3 replicas that calls 6 workers
-    And 1 worker on which tasks take 4 times as long
-    And 150 jobs of 4 tasks over 30 seconds
-    When 30 seconds of jobs pass
-    Then at most 15 tasks started on the slow worker
-    When its tasks take as long as elsewhere
-    And 60 jobs of 20 tasks come over 12 seconds
-    Then at least 30 more tasks started on the slow worker
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -77,7 +77,6 @@
         self.fails_everything = False
         self.hangs_everything = False
         self.is_draining = False
-        self.slowdown = 1.0  # Times as long as tasks take elsewhere.
         self.is_up = True
         self.runs: dict[TaskRef, Run] = {}
         self.ended: list[EndedTask] = []
@@ -367,7 +366,7 @@
             self._start_gang(task, order.attempt, plan, step.count)
         elif not step.long_running:
             is_failing = self.failed[task] < plan.failures
-            run.ends_at = run.started_at + plan.run_s * worker.slowdown
+            run.ends_at = run.started_at + plan.run_s
             run.kind = jobs_pb2.END_FAILED if is_failing else jobs_pb2.END_DONE
         for hook in list(self.hooks):
             hook("start", worker, task)
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -403,37 +403,3 @@
         if task.job == context.last_job
     ]
     assert len(running) == count, len(running)
-
-
-@given("{count:d} worker on which tasks take {factor:d} times as long")
-def given_slow_worker(context, count, factor):
-    context.slow = context.cell.fleet.workers[0]
-    context.slow.slowdown = float(factor)
-
-
-def count_starts(context, worker):
-    starts = context.cell.fleet.starts.values()
-    return sum(where == worker.id for items in starts for where, _ in items)
-
-
-@then("at most {count:d} tasks started on the slow worker")
-def then_few_started(context, count):
-    context.started = count_starts(context, context.slow)
-    assert context.started <= count, context.started
-
-
-@when("its tasks take as long as elsewhere")
-def when_well(context):
-    context.slow.slowdown = 1.0
-
-
-@when("{count:d} jobs of {tasks:d} tasks come over {seconds:d} seconds")
-def when_jobs_come(context, count, tasks, seconds):
-    launch(context, submit_over, context, count, tasks, seconds)
-    advance(context, seconds)
-
-
-@then("at least {count:d} more tasks started on the slow worker")
-def then_more_started(context, count):
-    more = count_starts(context, context.slow) - context.started
-    assert more >= count, more
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -270,10 +270,6 @@
                 ran_s=round(now - placement.placed_at, 3),
             )
         unit = self._find_unit(placement.key)
-        if kind == jobs_pb2.END_DONE and unit is not None and unit.unit.size == 1:
-            placement.worker.note_pace(
-                took_s=now - placement.placed_at, estimate_s=placement.estimate_s
-            )
         if placement.worker.note_end(kind, now):
             logger.warning("worker shunned", worker=placement.worker.id, why="tasks fail there")
         is_bad = kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE)
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -1,7 +1,5 @@
 """Workers that the leader calls: what they have, what runs there, and whether to use them."""
 
-import statistics
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -9,23 +7,17 @@
 from ..models.ids import JobId
 from ..models.resources import Amounts, make_amounts
 from ..schema import jobs_pb2, peers_pb2
-from ..utils.logs import get_logger
 from .gateway import WorkerEndpoint
 from .leases import WorkerLease
 
 TaskKey = tuple[JobId, int]
 
-logger = get_logger(__name__)
-
 BEAT_SILENCE_S = 5.0  # Three announcements of 1.5 s and a margin without one.
-SHORTEST_S = 0.05  # Tasks below this tell nothing of a pace.
 SHUN_BASE_S = 2.0  # First pause of a worker that failed its tasks or where they stood still.
 SHUN_LIMIT_S = 16.0
 SILENCES_TO_SHUN = 2  # Orders without an answer in a row; a single one may be lost on its way.
 SILENCE_PAUSE_S = 1.0
 LATENESS_MEMORY_S = 12.0  # For which one late order makes others likely: as long as they take.
-PACE_SAMPLES = 7  # Newest ends by whose median a worker's pace is judged.
-SLOW_FACTOR = 3.0  # Times the usual pace; single estimates are off by more, four of seven are not.
 FAILURES_TO_SHUN = 2  # Tasks failed in a row that speak against the worker, not the tasks.
 
 
@@ -77,9 +69,6 @@
     missed_look: bool = False  # The last request for its lists got no answer.
     late_seen_at: float = float("-inf")  # When it last answered after a call without an answer.
     failures_in_row: int = 0
-    paces: deque[float] = field(default_factory=lambda: deque(maxlen=PACE_SAMPLES))
-    pace: float = 1.0  # Median of the time that tasks take here, against their estimates.
-    is_slow: bool = False
 
     def __post_init__(self) -> None:
         self.id = self.message.id
@@ -105,9 +94,6 @@
         # After trouble, one task has to end well there before others follow.
         if self.trouble and self.placements:
             return "on probation"
-        # A slow worker gets one task at a time, by which it may prove better.
-        if self.is_slow and self.placements:
-            return "slow"
         return ""
 
     def is_usable(self, now: float) -> bool:
@@ -148,11 +134,6 @@
         self.shun_until = now + pause_s
         return pause_s
 
-    def note_pace(self, *, took_s: float, estimate_s: float) -> None:
-        """Learn how long tasks take here from one that ended well."""
-        self.paces.append(max(took_s, SHORTEST_S) / max(estimate_s, SHORTEST_S))
-        self.pace = statistics.median(self.paces)
-
     def note_end(self, kind: jobs_pb2.EndKind.ValueType, now: float) -> bool:
         """Learn from an end; return whether the worker is no longer used for a while."""
         if kind == jobs_pb2.END_DONE:
@@ -188,23 +169,6 @@
         self._workers[message.id] = worker
         return worker
 
-    def judge_paces(self) -> None:
-        """Find the workers on which tasks take much longer than on the median one."""
-        judged = [worker for worker in self if len(worker.paces) == PACE_SAMPLES]
-        if not judged:
-            return
-        usual = statistics.median(worker.pace for worker in judged)
-        for worker in judged:
-            is_slow = worker.pace > SLOW_FACTOR * usual
-            if is_slow != worker.is_slow:
-                worker.is_slow = is_slow
-                logger.info(
-                    "worker's pace judged",
-                    worker=worker.id,
-                    is_slow=is_slow,
-                    times_usual=round(worker.pace / usual, 2),
-                )
-
     def sees_late_orders(self, now: float) -> bool:
         """Tell whether some worker left calls unanswered a short time ago and is well."""
         return any(now - worker.late_seen_at < LATENESS_MEMORY_S for worker in self)
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -137,7 +137,6 @@
         """Return what to start now."""
         now = self._timers.now()
         wall_ms = self._timers.wall_ms()
-        self._fleet.judge_paces()
         round_ = Round(self._fleet, now=now)
         self._reservations.keep_only(
             is_waiting=lambda key: key in self._waiting and bool(self._waiting[key].waiting),
