Name full workers for a gang again, and keep workers for one round only

A gang waits for full workers to drain, but full workers were no longer named to the advisor once others had room, and those with a ticket were left out, so that a gang's tickets ran out at different times and were never all valid at once.

--- a/features/advice.feature
+++ b/features/advice.feature
@@ -56,6 +56,12 @@
     When 5 tasks need advice beside a worker that is approved
     Then nobody is named
 
+  Scenario: A gang names full workers beside free ones, as it waits for them to drain
+    Given workers a to f with room for 3 tasks each
+    And workers a and b are full
+    When a gang of 5 needs advice and a and b were approved before
+    Then only a, b, c, d, e and f are named
+
   Scenario: Full workers are named where nobody is approved
     Given workers a to f with room for 0 tasks each
     When 5 tasks need advice and a and b were approved before
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -150,12 +150,13 @@
     context.fits.update(a=0, b=0)
 
 
-def name_workers(context, needed, approved, may_name_full):
+def name_workers(context, needed, approved, may_name_full, *, is_gang=False):
     context.named = choose_named(
         context.fits,
         approved_before=approved,
         needed=needed,
         may_name_full=may_name_full,
+        is_gang=is_gang,
         decision_ms=100,
         per_worker_ms=10,
     )
@@ -166,6 +167,11 @@
     name_workers(context, needed, {"a", "b"}, True)
 
 
+@when("a gang of {needed:d} needs advice and a and b were approved before")
+def when_gang_needed(context, needed):
+    name_workers(context, needed, {"a", "b"}, True, is_gang=True)
+
+
 @when("{needed:d} tasks need advice beside a worker that is approved")
 def when_needed_beside(context, needed):
     name_workers(context, needed, set(), False)
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -7,7 +7,6 @@
 from ..cell.jobs import JobStore
 from ..models.ids import JobId
 from ..models.resources import Amounts
-from ..scheduling.gang_reservation import Fit, Reservations
 from ..scheduling.job_advice import choose_named
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import (
@@ -19,12 +18,11 @@
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
-from .advice import AdviceDesk, AdviceRequest, StepAdvice, StepKey, estimate_call_s
+from .advice import AdviceDesk, AdviceRequest, StepAdvice, estimate_call_s
 from .fleet import Fleet, FleetWorker
 from .runs import JobRun, StepRun, UnitRun
 
 MAX_ADVICE_STEPS = 12  # Waiting steps whose tickets are kept valid; those behind wait for room.
-RENEWAL_MARGIN_S = 0.1  # On top of a call, for its way to the helper and back.
 
 logger = get_logger(__name__)
 
@@ -45,6 +43,7 @@
         self.now = now
         self.starts: list[Start] = []
         self.advice_asked = 0
+        self.reserved: dict[str, StepRun] = {}
         self._fleet = fleet
         self._rooms: dict[str, Amounts] = {}
         self._pools: dict[str, dict[str, FleetWorker]] = {}
@@ -81,7 +80,7 @@
         self._store = store
         self._timers = timers
         self._waiting: dict[tuple[JobId, int, int], StepRun] = {}
-        self._reservations: Reservations[StepKey] = Reservations()
+        self._reserved_count = 0  # Workers kept for a gang in the last round.
 
     def add(self, run: JobRun) -> None:
         """Take up the steps of a job."""
@@ -130,7 +129,7 @@
             "free_memory": round(sum(w.free.memory_mb for w in usable) / max(1, memory), 3),
             "waiting_steps": len(steps),
             "waiting_gangs": sum(step.message.gang for step in steps),
-            "reserved_workers": len(self._reservations),
+            "reserved_workers": self._reserved_count,
         }
 
     def plan(self, *, settled: bool, early_ms: int) -> list[Start]:
@@ -138,16 +137,13 @@
         now = self._timers.now()
         wall_ms = self._timers.wall_ms()
         round_ = Round(self._fleet, now=now)
-        self._reservations.keep_only(
-            is_waiting=lambda key: key in self._waiting and bool(self._waiting[key].waiting),
-            usable={worker.id for worker in self._fleet if worker.is_usable(now)},
-        )
         for step in self._list_ready(settled=settled, latest_due_ms=wall_ms + early_ms, now=now):
             queue = self._store.get_queue_in_force(step.run.stored)
             if step.message.gang:
                 self._place_gang(step, queue, round_)
             else:
                 self._place_tasks(step, queue, round_)
+        self._reserved_count = len(round_.reserved)
         return round_.starts
 
     def _list_ready(self, *, settled: bool, latest_due_ms: int, now: float) -> list[StepRun]:
@@ -182,20 +178,11 @@
         usable = round_.get_usable(queue.pool)
         if not queue.HasField("advisor"):
             return [worker for worker in usable.values() if step.accepts(worker.message.labels)]
-        advice = self._advice.get(step.key)
-        tickets = advice.list_valid(round_.now)
-        # A gang that waits for workers to drain needs its tickets to hold at any moment.
-        renew_at = self._get_horizon(step, queue, round_)
-        if not tickets or not advice.list_valid(renew_at):
+        tickets = self._advice.get(step.key).list_valid(round_.now)
+        approved = [usable[worker_id] for worker_id in tickets if worker_id in usable]
+        if not approved:
             self._ask_advice(step, queue, round_)
-        return [usable[worker_id] for worker_id in tickets if worker_id in usable]
-
-    def _get_horizon(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> float:
-        """Return until when a ticket has to hold to count as one."""
-        if not step.message.gang:
-            return round_.now
-        known = len(self._advice.get(step.key).tickets)
-        return round_.now + estimate_call_s(queue.advisor, known) + RENEWAL_MARGIN_S
+        return approved
 
     def _ask_advice(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> None:
         """Ask which further workers may run a step."""
@@ -220,25 +207,20 @@
     def _choose_named(
         self, step: StepRun, queue: jobs_pb2.Queue, advice: StepAdvice, round_: Round
     ) -> list[str]:
-        """Return workers to ask for: none that were refused or are approved, most room first."""
-        horizon = self._get_horizon(step, queue, round_)
+        """Return workers to ask for, none that were refused, those with most room first."""
         fits = {
             worker.id: count_fitting(step.amounts, round_.get_room(worker))
             for worker in round_.get_usable(queue.pool).values()
             if worker.id not in advice.refused
-            and not advice.has_ticket(worker.id, horizon)
+            and (step.message.gang or not advice.has_ticket(worker.id, round_.now))
             and step.accepts(worker.message.labels)
         }
-        is_gang = step.message.gang
-        needed = step.message.count if is_gang else len(step.waiting)
-        known = self._measure_fits(step, self._list_known(step, queue, round_), round_)
         return choose_named(
             fits,
             approved_before=advice.tickets.keys(),
-            needed=needed,
+            needed=step.message.count if step.message.gang else len(step.waiting),
             may_name_full=not advice.list_valid(round_.now),
-            waits_for_known=is_gang,
-            known_suffice=is_gang and sum(fit.when_empty for fit in known.values()) >= needed,
+            is_gang=step.message.gang,
             decision_ms=queue.advisor.decision_ms,
             per_worker_ms=queue.advisor.per_worker_ms,
         )
@@ -246,9 +228,9 @@
     def _place_gang(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> None:
         candidates = self._list_candidates(step, queue, round_)
         for unit in list(step.waiting.values()):
-            if unit.not_before > round_.now:
+            if unit.not_before > round_.now or not candidates:
                 continue
-            open_ = [w for w in candidates if self._reservations.is_open(w.id, to=step.key)]
+            open_ = [w for w in candidates if round_.reserved.get(w.id, step) is step]
             chosen = choose_gang(
                 step.amounts,
                 unit.unit.size,
@@ -256,9 +238,7 @@
                 limit_per_worker=step.message.max_per_worker,
             )
             if chosen is None:
-                if candidates:
-                    self._ask_advice(step, queue, round_)
-                self._reserve(step, unit, queue, round_)
+                self._reserve(step, unit, open_, round_)
                 continue
             positions = iter(unit.unit.positions)
             workers = {
@@ -268,44 +248,33 @@
             }
             self._start(step, unit, workers, round_)
 
-    def _list_known(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> list[FleetWorker]:
-        """Return the workers that may run a step, also those whose tickets have to be renewed."""
-        usable = round_.get_usable(queue.pool)
-        if not queue.HasField("advisor"):
-            return [worker for worker in usable.values() if step.accepts(worker.message.labels)]
-        tickets = self._advice.get(step.key).tickets
-        return [usable[worker_id] for worker_id in tickets if worker_id in usable]
-
-    def _measure_fits(
-        self, step: StepRun, workers: list[FleetWorker], round_: Round
-    ) -> dict[str, Fit]:
-        limit = step.message.max_per_worker or step.message.count
-        return {
-            worker.id: Fit(
-                now=min(limit, count_fitting(step.amounts, round_.get_room(worker))),
-                when_empty=min(limit, count_fitting(step.amounts, worker.capacity)),
-            )
-            for worker in workers
-        }
-
-    def _reserve(self, step: StepRun, unit: UnitRun, queue: jobs_pb2.Queue, round_: Round) -> None:
-        """Keep workers for a gang that does not fit yet."""
-        known = self._list_known(step, queue, round_)
-        self._reservations.top_up(
-            step.key,
-            size=unit.unit.size,
-            rank=self._rank(step, round_.now),
-            fits=self._measure_fits(step, known, round_),
-            workers=len(round_.get_usable(queue.pool)),
+    def _reserve(
+        self, step: StepRun, unit: UnitRun, open_: list[FleetWorker], round_: Round
+    ) -> None:
+        """Keep workers for a gang that does not fit yet, those that can hold most of it."""
+        if round_.reserved:
+            return
+        ranked = sorted(
+            open_,
+            key=lambda worker: -count_fitting(step.amounts, round_.get_room(worker)),
         )
+        left = unit.unit.size
+        chosen: list[str] = []
+        for worker in ranked:
+            if left <= 0:
+                break
+            left -= count_fitting(step.amounts, worker.capacity)
+            chosen.append(worker.id)
+        if left <= 0:
+            round_.reserved.update(dict.fromkeys(chosen, step))
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: Round) -> None:
-        approved = self._list_candidates(step, queue, round_)
-        candidates = [w for w in approved if self._reservations.is_free(w.id)]
+        candidates = self._list_candidates(step, queue, round_)
+        candidates = [w for w in candidates if w.id not in round_.reserved]
         limit = step.message.max_per_worker
         placed: dict[str, int] = {}
         if limit:
-            placed = {worker.id: step.count_on(worker.id) for worker in approved}
+            placed = {worker.id: step.count_on(worker.id) for worker in candidates}
 
         def score(worker: FleetWorker) -> float | None:
             room = round_.get_room(worker)
@@ -322,8 +291,6 @@
             if unit.avoided:
                 sound = [w for w in candidates if w.id not in unit.avoided] or candidates
             worker = choose_worker(sound, score=score)
-            if worker is None:
-                worker = choose_worker(self._list_passable(step, approved, round_), score=score)
             if worker is None:
                 self._ask_advice(step, queue, round_)
                 return
@@ -331,18 +298,6 @@
                 placed[worker.id] += 1
             self._start(step, unit, {unit.unit.first_position: worker.id}, round_)
 
-    def _list_passable(
-        self, step: StepRun, workers: list[FleetWorker], round_: Round
-    ) -> list[FleetWorker]:
-        """Return the workers that are kept for gangs which are less pressing than a step."""
-        rank = self._rank(step, round_.now)
-        return [
-            worker
-            for worker in workers
-            if not self._reservations.is_free(worker.id)
-            and self._reservations.may_pass(worker.id, rank)
-        ]
-
     def _start(self, step: StepRun, unit: UnitRun, workers: dict[int, str], round_: Round) -> None:
         advice = self._advice.get(step.key)
         tickets = {w: advice.tickets[w] for w in workers.values() if w in advice.tickets}
@@ -351,5 +306,4 @@
             assert worker is not None
             round_.take(worker, step.amounts)
         self.take_out(unit)
-        self._reservations.release(step.key)
         round_.starts.append(Start(unit=unit, workers=workers, tickets=tickets))
--- a/src/dewspindle/_internal/scheduling/job_advice.py
+++ b/src/dewspindle/_internal/scheduling/job_advice.py
@@ -17,8 +17,7 @@
     approved_before: Collection[str],
     needed: int,
     may_name_full: bool,
-    waits_for_known: bool = False,
-    known_suffice: bool = False,
+    is_gang: bool = False,
     decision_ms: float,
     per_worker_ms: float,
 ) -> list[str]:
@@ -26,18 +25,16 @@
 
     Workers that were approved before stay approved, so they suffice where they have the room.
     Full workers may be free by the answer, so they are named where no other is left, but not
-    in addition to workers that are approved already. A gang waits for workers that were approved
-    to drain, so it names them also while they are full, and others only where they do not suffice.
+    in addition to workers that are approved already. A gang waits for full workers to drain and
+    needs all its tickets at the same moment, so it always names them.
     """
-    known = [w for w in approved_before if w in fits and (fits[w] or waits_for_known)]
-    known.sort(key=lambda worker: -fits[worker])
-    if known and (known_suffice or sum(fits[worker] for worker in known) >= needed):
-        return known[:MAX_NAMED]
     affordable = int(decision_ms * NAMING_SHARE / max(per_worker_ms, 0.001))
     count = min(MAX_NAMED, max(LEAST_NAMED, affordable, needed))
-    if waits_for_known:
-        others = sorted(fits.keys() - set(known), key=lambda worker: (-fits[worker], worker))
-        return [*known, *others[:count]][:MAX_NAMED]
+    if is_gang:
+        return sorted(fits, key=lambda w: -fits[w])[:count]
+    known = sorted((w for w in approved_before if fits.get(w)), key=lambda w: -fits[w])
+    if known and sum(fits[worker] for worker in known) >= needed:
+        return known[:MAX_NAMED]
     with_room = [worker for worker in fits if fits[worker] > 0]
     if not with_room and not may_name_full:
         return []
