--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -1,5 +1,4 @@
-import asyncio
-
+import anyio.lowlevel
 from behave import given, then, when
 
 from dewspindle._internal.models.jobs import TaskRef
@@ -368,7 +367,7 @@
 
     async def announce():
         context.cell.start_soon(fleet.send_beat, context.worker)
-        await asyncio.sleep(0)
+        await anyio.lowlevel.checkpoint()
         context.worker.is_draining = True
         fleet.next_beat()
         context.cell.start_soon(fleet.send_beat, context.worker)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,7 +14,7 @@
 from features.lib.called_fleet import Plan
 
 from .proxy import Proxy
-from .workers import WireFleet
+from .workers import ADVICE_S, VALIDITY_MS, WireFleet
 
 HOST = "jobs.example"
 PREFIX = "/queue/"
@@ -40,7 +40,6 @@
 
     def __init__(self, fleet: WireFleet, proxies: list[Proxy], *, seed: int) -> None:
         self._fleet = fleet
-        self._proxies = proxies
         self._random = random.Random(seed)
         self._clients = [JsonClient(proxy.address, max_connections=64) for proxy in proxies]
         self.cancelled: set[str] = set()
@@ -103,14 +102,14 @@
                 return
             await anyio.sleep(PAUSE_S)
 
-    async def look(self, job: str) -> str:
+    async def look(self, job: str) -> None:
         """Read the state of an accepted job, and check it against what workers did."""
         answer = await self.call("GET", job)
         if answer is None or answer.status in (429, 502, 503, 504):
-            return ""
+            return
         if answer.status != 200:
             self.broken.append(f"LOST: {job} was accepted, and reading it gives {answer.status}")
-            return ""
+            return
         state = str(answer.body["state"])
         if state == "completed":
             self._check_completed(job)
@@ -119,7 +118,6 @@
             self.broken.append(f"MIXED: {job} was completed, and is {state} again")
         elif state in FINAL_STATES and job not in self.cancelled:
             self.broken.append(f"LOST: {job} is {state} without cause")
-        return state
 
     def _check_completed(self, job: str) -> None:
         for number, step in enumerate(self._fleet.plans[job].spec.steps):
@@ -144,10 +142,9 @@
 class Operator:
     """Puts configurations, and reads the newest back."""
 
-    def __init__(self, addresses: list[str], *, seed: int, advisor_ms: int) -> None:
+    def __init__(self, addresses: list[str], *, seed: int) -> None:
         self._addresses = addresses
         self._random = random.Random(seed)
-        self._advisor_ms = advisor_ms
         self._sent: dict[int, Any] = {}
         self._version = 0
         self.acknowledged = 0
@@ -174,7 +171,11 @@
             "service": "pool",
             "max_attempts": 3,
             "slack_factor": 2.0,
-            "advisor": {"decision_ms": self._advisor_ms, "per_worker_ms": 1, "validity_ms": 1500},
+            "advisor": {
+                "decision_ms": int(ADVICE_S * 1000),
+                "per_worker_ms": 1,
+                "validity_ms": VALIDITY_MS,
+            },
         }
         more = {**route, "name": "more", "path_prefix": f"/more{self._version}/"}
         return {
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -59,27 +59,32 @@
 
     async def start(self) -> None:
         """Start the process."""
-        settings = self._folder / f"{self.name}.conf"
-        self.write_settings(settings)
+        self._make_data_folder()
+        self.write_settings()
         with self.log.open("ab") as output:
             self._process = await anyio.open_process(
                 [sys.executable, "deploy/start.py", self.role],
                 cwd=ROOT,
-                env={**os.environ, "DEWSPINDLE_NODE_FILE": str(settings)},
+                env={**os.environ, "DEWSPINDLE_NODE_FILE": str(self._settings_file)},
                 stdout=output,
                 stderr=output,
             )
         self.is_up, self.is_paused, self._expects_end = True, False, False
 
-    def write_settings(self, path: Path | None = None, **changed: str) -> None:
+    @property
+    def _settings_file(self) -> Path:
+        return self._folder / f"{self.name}.conf"
+
+    def _make_data_folder(self) -> None:
+        if "data_dir" in self._settings:
+            Path(self._settings["data_dir"]).mkdir(exist_ok=True)
+
+    def write_settings(self, **changed: str) -> None:
         """Write the settings file, whole."""
         self._settings.update(changed)
-        path = path or self._folder / f"{self.name}.conf"
-        data = Path(self._settings.get("data_dir", self._folder))
-        data.mkdir(exist_ok=True)
-        fresh = path.with_suffix(".new")
+        fresh = self._settings_file.with_suffix(".new")
         fresh.write_text("".join(f"{name}={value}\n" for name, value in self._settings.items()))
-        fresh.rename(path)
+        fresh.rename(self._settings_file)
 
     def _send(self, number: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -57,7 +57,7 @@
             for program in self.entries
         ]
         self.callers = Callers(self.fleet, self.caller_proxies, seed=seed)
-        self.operator = Operator(self.control_addresses, seed=seed, advisor_ms=20)
+        self.operator = Operator(self.control_addresses, seed=seed)
 
     @property
     def proxies(self) -> list[Proxy]:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -11,7 +11,13 @@
 
 from dewspindle._internal.exceptions import DewspindleError
 from dewspindle._internal.http.server import HttpServer
-from dewspindle._internal.jobs.gateway import HoldOrder, OrderAnswer, StartOrder, StopOrder
+from dewspindle._internal.jobs.gateway import (
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+)
 from dewspindle._internal.network.json_client import JsonClient
 from dewspindle._internal.platform.asgi import (
     Receive,
@@ -21,28 +27,24 @@
     read_body,
     send_json,
 )
-from dewspindle._internal.platform.worker_calls import make_task_name, parse_task_name
-from dewspindle._internal.schema import jobs_pb2
+from dewspindle._internal.platform.worker_calls import (
+    END_KINDS,
+    REJECTIONS,
+    make_task_name,
+    parse_task_name,
+)
 from dewspindle._internal.utils.timers import SystemTimerService
 from features.lib.called_fleet import CAPACITY, CalledFleet, CalledWorker
 from features.lib.cells import find_free_address
 
 from .proxy import Proxy
 
-BEAT_S = 1.0
 BEAT_TIMEOUT_S = 1.0
 LATE_S = 3.0  # How much later an order without an answer is carried out.
 ADVICE_S = 0.02
 VALIDITY_MS = 1500
-HOWS = {
-    jobs_pb2.END_DONE: "done",
-    jobs_pb2.END_FAILED: "failed",
-    jobs_pb2.END_STOPPED: "stopped",
-    jobs_pb2.END_LAPSED: "lapsed",
-    jobs_pb2.END_BROKEN: "broken",
-    jobs_pb2.END_ALONE: "alone",
-}
-REASONS = {"fenced": "fence", "superseded": "old", "late": "late", "no-room": "room"}
+END_WORDS = {kind: word for word, kind in END_KINDS.items()}
+REJECTION_WORDS = {outcome: word for word, outcome in REJECTIONS.items()}
 
 
 class RealTimers(SystemTimerService):
@@ -123,12 +125,12 @@
                 token, fields["ack_cursor"], fields.get("deadline_ms"), fields.get("wait_ms", 0)
             )
             lists = await worker.hold(order)
-            if lists.outcome.value == "fenced":
-                return 409, {"reason": "fence"}
+            if lists.outcome is not OrderOutcome.ACCEPTED:
+                return 409, {"reason": REJECTION_WORDS[lists.outcome]}
             return 200, {
                 "active": [[make_task_name(t.task), t.attempt, "", 100] for t in lists.active],
                 "finished": [
-                    [e.number, make_task_name(e.task), e.attempt, HOWS[e.kind], ""]
+                    [e.number, make_task_name(e.task), e.attempt, END_WORDS[e.kind], ""]
                     for e in lists.ended
                 ],
             }
@@ -144,9 +146,9 @@
             )
         else:
             answer = worker.stop(StopOrder(task, fields["attempt"], token))
-        if answer.outcome.value == "accepted":
+        if answer.outcome is OrderOutcome.ACCEPTED:
             return 200, {}
-        return 409, {"reason": REASONS[answer.outcome.value]}
+        return 409, {"reason": REJECTION_WORDS[answer.outcome]}
 
 
 class WireFleet(CalledFleet):
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -269,12 +269,12 @@
                 worker=placement.worker.id,
                 ran_s=round(now - placement.placed_at, 3),
             )
-        unit = self._find_unit(placement.key)
         if placement.worker.note_end(kind, now):
             logger.warning("worker shunned", worker=placement.worker.id, why="tasks fail there")
-        is_bad = kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE)
-        if is_bad and unit is not None:
-            unit.avoided.add(placement.worker.id)
+        if kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE):
+            unit = self._find_unit(placement.key)
+            if unit is not None:
+                unit.avoided.add(placement.worker.id)
 
     def make_loss(self, placement: Placement) -> jobs_pb2.TaskEnd:
         """Return the end of a task that went with its worker."""
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from ..cell.jobs import JobStore
-from ..models.ids import JobId
 from ..models.resources import Amounts
 from ..scheduling.job_advice import choose_named
 from ..scheduling.job_order import compute_rank
@@ -18,7 +17,7 @@
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
-from .advice import AdviceDesk, AdviceRequest, StepAdvice, estimate_call_s
+from .advice import AdviceDesk, AdviceRequest, StepAdvice, StepKey, estimate_call_s
 from .fleet import Fleet, FleetWorker
 from .runs import JobRun, StepRun, UnitRun
 
@@ -79,7 +78,7 @@
         self._advice = advice
         self._store = store
         self._timers = timers
-        self._waiting: dict[tuple[JobId, int, int], StepRun] = {}
+        self._waiting: dict[StepKey, StepRun] = {}
         self._reserved_count = 0  # Workers kept for a gang in the last round.
 
     def add(self, run: JobRun) -> None:
@@ -117,14 +116,14 @@
     def measure_load(self) -> dict[str, Any]:
         """Return what waits and what room there is, as of the last round."""
         now = self._timers.now()
-        obstacles = Counter(worker.find_obstacle(now) for worker in self._fleet)
-        usable = [worker for worker in self._fleet if worker.is_usable(now)]
+        found = [(worker, worker.find_obstacle(now)) for worker in self._fleet]
+        usable = [worker for worker, obstacle in found if not obstacle]
         steps = [step for step in self._waiting.values() if step.waiting and step.is_ready]
         capacity = sum(worker.capacity.processors for worker in usable)
         memory = sum(worker.capacity.memory_mb for worker in usable)
         return {
-            "usable_workers": obstacles.pop("", 0),
-            "unusable_workers": dict(obstacles),
+            "usable_workers": len(usable),
+            "unusable_workers": dict(Counter(obstacle for _, obstacle in found if obstacle)),
             "free_processors": round(sum(w.free.processors for w in usable) / max(1, capacity), 3),
             "free_memory": round(sum(w.free.memory_mb for w in usable) / max(1, memory), 3),
             "waiting_steps": len(steps),
--- a/src/dewspindle/_internal/network/json_client.py
+++ b/src/dewspindle/_internal/network/json_client.py
@@ -7,7 +7,7 @@
 import httpcore
 
 from ..exceptions import ServerUnreachableError
-from .json_sender import JsonAnswer
+from .json_sender import JsonAnswer, make_answer
 
 
 class JsonClient:
@@ -40,13 +40,12 @@
             )
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise ServerUnreachableError(f"{self._base}: {error or type(error).__name__}") from None
-        names = {k.decode().lower(): v.decode() for k, v in response.headers}
-        is_json = "json" in names.get("content-type", "")
-        try:
-            value = json.loads(response.content) if is_json else response.content
-        except ValueError as error:
-            raise ServerUnreachableError(f"{self._base}: the answer is not JSON") from error
-        return JsonAnswer(status=response.status, headers=names, body=value)
+        return make_answer(
+            self._base,
+            status=response.status,
+            headers=((name.decode(), value.decode()) for name, value in response.headers),
+            content=response.content,
+        )
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/dewspindle/_internal/network/json_sender.py
+++ b/src/dewspindle/_internal/network/json_sender.py
@@ -1,8 +1,12 @@
 """What the clients of HTTP interfaces have in common."""
 
+import json
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from ..exceptions import ServerUnreachableError
+
 
 @dataclass(frozen=True, slots=True)
 class JsonAnswer:
@@ -13,6 +17,19 @@
     body: Any
 
 
+def make_answer(
+    server: str, *, status: int, headers: Iterable[tuple[str, str]], content: bytes
+) -> JsonAnswer:
+    """Return an answer; raise `ServerUnreachableError` where it says JSON and is none."""
+    names = {name.lower(): value for name, value in headers}
+    is_json = "json" in names.get("content-type", "")
+    try:
+        value = json.loads(content) if is_json else content
+    except ValueError as error:
+        raise ServerUnreachableError(f"{server}: the answer is not JSON") from error
+    return JsonAnswer(status=status, headers=names, body=value)
+
+
 class JsonSender(Protocol):
     """Sends JSON to any address."""
 
--- a/src/dewspindle/_internal/network/pooled_client.py
+++ b/src/dewspindle/_internal/network/pooled_client.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from ..exceptions import ServerUnreachableError
-from .json_sender import JsonAnswer
+from .json_sender import JsonAnswer, make_answer
 
 IDLE_CONNECTION_S = 60.0  # Longer than servers keep an idle connection, which they close first.
 
@@ -44,13 +44,9 @@
             raise
         except (aiohttp.ClientError, OSError) as error:
             raise ServerUnreachableError(f"{address}: {error or type(error).__name__}") from None
-        names = {name.lower(): value for name, value in response.headers.items()}
-        is_json = "json" in names.get("content-type", "")
-        try:
-            value = json.loads(answer) if is_json else answer
-        except ValueError as error:
-            raise ServerUnreachableError(f"{address}: the answer is not JSON") from error
-        return JsonAnswer(status=response.status, headers=names, body=value)
+        return make_answer(
+            address, status=response.status, headers=response.headers.items(), content=answer
+        )
 
     def _get_session(self) -> aiohttp.ClientSession:
         """Return the session, which belongs to the running event loop."""
--- a/src/dewspindle/_internal/platform/worker_calls.py
+++ b/src/dewspindle/_internal/platform/worker_calls.py
@@ -34,14 +34,14 @@
 CONNECTIONS_PER_WORKER = 8  # One waits for ends; the rest carry the starts of a gang.
 LISTED_ENDS = 500  # Ends that one answer lists at most.
 
-_REASONS = {
+REJECTIONS = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.SUPERSEDED,
     "late": OrderOutcome.LATE,
     "room": OrderOutcome.NO_ROOM,
     "ticket": OrderOutcome.TICKET_INVALID,
 }
-_END_KINDS = {
+END_KINDS = {
     "done": END_DONE,
     "failed": END_FAILED,
     "stopped": END_STOPPED,
@@ -153,7 +153,7 @@
     if answer.status == 400:
         return OrderAnswer(OrderOutcome.INVALID, clock_ms)
     if answer.status == 409 and isinstance(answer.body, dict):
-        outcome = _REASONS.get(str(answer.body.get("reason")))
+        outcome = REJECTIONS.get(str(answer.body.get("reason")))
         if outcome is not None:
             return OrderAnswer(outcome, clock_ms)
     raise WorkerUnreachableError(f"status {answer.status} says nothing about the order")
@@ -195,7 +195,7 @@
     try:
         number, name, attempt, how, checkpoint = row[:5]
         return EndedTask(
-            int(number), parse_task_name(name), int(attempt), _END_KINDS[how], str(checkpoint)
+            int(number), parse_task_name(name), int(attempt), END_KINDS[how], str(checkpoint)
         )
     except (InvalidDocumentError, KeyError, TypeError, ValueError) as error:
         logger.warning("end of a task cannot be read", row=str(row)[:100], why=str(error))
