Make live cells independent of free ports and of the machine's disk

A port was probed, closed and only later bound, so two servers could get it. Cells in the test process have a leader lease of 150 ms, and a sync of the machine's disk can take longer. Ruled out: retrying at the bind, as the address is handed to other instances before. Change: utils/local_ports.py binds a socket and keeps it bound without listening, so the kernel gives the port to nobody else; dev, bench, soak and the tests share it. Instance takes a Disk; live cells leave their writes in the page cache.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 
 from dewspindle._internal.exceptions import ServerUnreachableError
 from dewspindle._internal.network.json_client import JsonClient
+from dewspindle._internal.utils.local_ports import reserve_address
 
 TOKEN = "bench"
 READY_TIMEOUT_S = 30.0
@@ -21,13 +21,6 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-def find_free_address() -> str:
-    """Return a loopback address with an unused port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @dataclass(slots=True)
 class ProcessInstance:
     """One `dewspindle serve` process."""
@@ -90,7 +83,7 @@
 
     def __init__(self, *, size: int, replicas: int, flags: dict[str, str] | None = None) -> None:
         self._directory = tempfile.TemporaryDirectory(prefix="dewspindle-bench-")
-        peer_addresses = [find_free_address() for _ in range(size)]
+        peer_addresses = [reserve_address() for _ in range(size)]
         peers = ",".join(f"i{n}@{peer_addresses[n]}" for n in range(replicas))
         self.instances = [
             self._make_instance(n, peer_addresses[n], peers, n < replicas, flags or {})
@@ -100,7 +93,7 @@
     def _make_instance(
         self, number: int, peer_address: str, peers: str, is_replica: bool, flags: dict[str, str]
     ) -> ProcessInstance:
-        http_address, operator_address = find_free_address(), find_free_address()
+        http_address, operator_address = reserve_address(), reserve_address()
         settings = {
             "instance-id": f"i{number}",
             "availability-zone": f"zone-{number % 3}",
--- a/bench/standins.py
+++ b/bench/standins.py
@@ -8,9 +8,10 @@
 from dewspindle._internal.network.json_client import JsonClient
 from dewspindle._internal.standins.backend import StandInBackend
 from dewspindle._internal.standins.worker import StandInWorker
+from dewspindle._internal.utils.local_ports import reserve_address
 from dewspindle._internal.utils.timers import SystemTimerService
 
-from .processes import ProcessCell, find_free_address
+from .processes import ProcessCell
 
 WORKER_CAPACITY = Amounts(processors=32_000, memory_mb=131_072)
 WORKERS_PER_RACK = 8
@@ -59,7 +60,7 @@
             backend=f"b{number}",
             service="bench",
             zone=f"zone-{number % 3}",
-            address=find_free_address(),
+            address=reserve_address(),
             slots=slots,
             connections=60,
             client=JsonClient(instance.http_address, max_connections=1),
--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from dewspindle._internal.utils.local_ports import release_addresses
 from features.lib import known_faults
 
 MAX_STEP_CPU_S = 8.0  # Fails a step that spins, however busy the machine is otherwise.
@@ -15,7 +16,7 @@
 
 
 def before_all(context: Any) -> None:
-    """Record the program's log events instead of printing them, and the durations of syncs."""
+    """Record the program's log events instead of printing them."""
     known_faults.install()
 
 
@@ -56,3 +57,4 @@
         close()
     context.runner.close()
     shutil.rmtree(context.folder)
+    release_addresses()
--- a/features/lib/cells.py
+++ b/features/lib/cells.py
@@ -1,7 +1,10 @@
-"""Instances that run in the test process and communicate over real sockets."""
+"""Instances that run in the test process and communicate over real sockets.
+
+Their short leader leases would not outlast a slow sync of the machine's disk, so they write their
+data folders without syncs.
+"""
 
 import random
-import socket
 from pathlib import Path
 from typing import Any
 
@@ -9,28 +12,28 @@
 
 from dewspindle._internal.instance import Instance
 from dewspindle._internal.network.json_client import JsonClient
+from dewspindle._internal.replication.disk import Disk
 from dewspindle._internal.settings.loading import load_settings
+from dewspindle._internal.utils.local_ports import reserve_address
+
+from .disk import MemoryDisk
 
 OPERATOR_TOKEN = "secret"
 READER_TOKEN = "reader"
 
 
-def find_free_address() -> str:
-    """Return a loopback address on which nothing listens."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class LiveInstance:
     """An instance with its addresses, and clients of its operator and HTTP addresses."""
 
-    def __init__(self, name: str, peer_address: str, folder: Path | None, **flags: str) -> None:
+    def __init__(
+        self, name: str, peer_address: str, folder: Path | None, *, disk: Disk, **flags: str
+    ) -> None:
         self.name = name
-        self.http_address = find_free_address()
-        self.operator_address = find_free_address()
+        self.http_address = reserve_address()
+        self.operator_address = reserve_address()
         self.peer_address = peer_address
         self._folder = folder
+        self._disk = disk
         self._flags = flags
         self.instance: Instance | None = None
         self.ended = anyio.Event()
@@ -61,7 +64,7 @@
             },
             environment={},
         )
-        self.instance = Instance(settings, rng=random.Random(self.name))
+        self.instance = Instance(settings, rng=random.Random(self.name), disk=self._disk)
         return self.instance
 
     async def close_clients(self) -> None:
@@ -72,18 +75,34 @@
 class LiveCell:
     """Several instances, of which the first `replicas` have a data folder."""
 
-    def __init__(self, folder: Path, *, size: int, replicas: int, **flags: str) -> None:
-        addresses = [find_free_address() for _ in range(size)]
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        size: int,
+        replicas: int,
+        disk: Disk | None = None,
+        **flags: str,
+    ) -> None:
+        disk = disk or MemoryDisk()
+        addresses = [reserve_address() for _ in range(size)]
         self.peers = ",".join(f"i{n}@{addresses[n]}" for n in range(replicas))
         self.instances = [
-            LiveInstance(f"i{n}", addresses[n], folder / f"i{n}" if n < replicas else None, **flags)
+            LiveInstance(
+                f"i{n}",
+                addresses[n],
+                folder / f"i{n}" if n < replicas else None,
+                disk=disk,
+                **flags,
+            )
             for n in range(size)
         ]
         self._stop = anyio.Event()
         self._group: Any = None
 
     async def host(self) -> None:
-        """Run the instances until `stop`."""
+        """Run the instances until `stop`; may be called again afterwards."""
+        self._stop = anyio.Event()
         async with anyio.create_task_group() as group:
             self._group = group
             for live in self.instances:
@@ -92,6 +111,7 @@
             group.cancel_scope.cancel()
         for live in self.instances:
             await live.close_clients()
+            live.instance = None
 
     async def _run(self, live: LiveInstance) -> None:
         await live.make(self.peers).run()
--- a/features/lib/disk.py
+++ b/features/lib/disk.py
@@ -1,4 +1,4 @@
-"""Disk that loses unsynced writes in a crash, and can be full, slow or fail to sync."""
+"""Disks that do not sync, or lose unsynced writes in a crash, and can be full, slow or failing."""
 
 import os
 from pathlib import Path
@@ -7,6 +7,13 @@
 from dewspindle._internal.replication.disk import Disk
 
 
+class MemoryDisk(Disk):
+    """Leaves written data in the page cache, so that no operation waits for the machine's disk."""
+
+    def sync(self, descriptor: int) -> None:
+        pass
+
+
 class FaultyDisk(Disk):
     """Buffers writes until they are synced, so that a crash loses those not synced.
 
--- a/features/lib/stub_worker.py
+++ b/features/lib/stub_worker.py
@@ -5,8 +5,7 @@
 from typing import Any
 
 from dewspindle._internal.http.server import HttpServer
-
-from .cells import find_free_address
+from dewspindle._internal.utils.local_ports import reserve_address
 
 Message = MutableMapping[str, Any]
 
@@ -18,7 +17,7 @@
     """
 
     def __init__(self) -> None:
-        self.address = find_free_address()
+        self.address = reserve_address()
         self.responses: dict[str, tuple[int, Any]] = {}
         self.requests: list[tuple[str, dict[str, str], dict[str, Any]]] = []
         self._finished_tasks: list[list[Any]] = []
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -12,11 +12,11 @@
 LONG_TIMEOUT = {"Dewspindle-Timeout-Ms": "6000"}
 
 
-def start_live_cell(context, size, replicas, **flags):
+def start_live_cell(context, size, replicas, **options):
     loop = context.runner.get_loop()
 
     async def make():
-        context.live = LiveCell(context.folder, size=size, replicas=replicas, **flags)
+        context.live = LiveCell(context.folder, size=size, replicas=replicas, **options)
         context.host = loop.create_task(context.live.host())
         await context.live.wait_until_ready()
 
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -7,12 +7,12 @@
 from dewspindle._internal.network.peer_server import PeerServer
 from dewspindle._internal.schema import peers_pb2
 from dewspindle._internal.settings.loading import load_settings
-from features.lib.cells import find_free_address
+from dewspindle._internal.utils.local_ports import reserve_address
 
 
 @given("a peer server with a handler that waits")
 def given_server(context):
-    context.address = find_free_address()
+    context.address = reserve_address()
     settings = load_settings(
         {
             "instance_id": "a",
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -30,8 +30,8 @@
 from dewspindle._internal.platform.queue_table import decode_queue_table
 from dewspindle._internal.platform.settings_file import decode_platform_settings
 from dewspindle._internal.platform.worker_client import WorkerClient
+from dewspindle._internal.utils.local_ports import reserve_address
 from dewspindle._internal.utils.metrics import Metrics
-from features.lib.cells import find_free_address
 from features.lib.stub_worker import StubWorkerServer
 
 HEARTBEAT = {
@@ -305,8 +305,8 @@
 @given("a replica and an entry instance on the platform's interfaces, with one HTTP worker")
 def given_platform(context):
     start_http_worker(context)
-    ports = {name: find_free_address() for name in ("admin", "client", "ready")}
-    peer = find_free_address()
+    ports = {name: reserve_address() for name in ("admin", "client", "ready")}
+    peer = reserve_address()
     port = peer.rpartition(":")[2]
     common = [
         "zone=z",
@@ -335,7 +335,7 @@
             make(
                 decode_platform_settings("\n".join([*common, *lines])),
                 metrics,
-                metrics_port=int(find_free_address().rpartition(":")[2]),
+                metrics_port=int(reserve_address().rpartition(":")[2]),
             )
             for make, lines in ((make_replica, cell), (make_entry_instance, entry))
         ]
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -37,9 +37,9 @@
     make_task_name,
     parse_task_name,
 )
+from dewspindle._internal.utils.local_ports import reserve_address
 from dewspindle._internal.utils.timers import SystemTimerService
 from features.lib.called_fleet import CAPACITY, CalledFleet, CalledWorker
-from features.lib.cells import find_free_address
 
 from .proxy import Proxy
 
@@ -90,7 +90,7 @@
     def __init__(self, fleet: "HttpFleet", number: int) -> None:
         self._fleet = fleet
         self._number = number
-        self._server_address = find_free_address()
+        self._server_address = reserve_address()
         self._server = HttpServer(self, address=self._server_address)
         self.proxy = Proxy(lambda: self._server_address)
         self.late_call_fraction = 0.0
@@ -245,7 +245,7 @@
     """Advisor that approves two thirds of the workers, always the same ones for a step."""
 
     def __init__(self) -> None:
-        self._address = find_free_address()
+        self._address = reserve_address()
         self._server = HttpServer(self, address=self._address)
         self.proxy = Proxy(lambda: self._address)
 
--- a/src/dewspindle/_internal/commands/dev.py
+++ b/src/dewspindle/_internal/commands/dev.py
@@ -1,6 +1,5 @@
 """`dewspindle dev`: a demonstration cell in one process."""
 
-import socket
 import sys
 import tempfile
 from functools import partial
@@ -14,6 +13,7 @@
 from ..settings.loading import load_settings
 from ..standins.backend import StandInBackend
 from ..standins.worker import StandInWorker
+from ..utils.local_ports import reserve_address
 from ..utils.logs import LogFormat, configure_logs
 from ..utils.timers import SystemTimerService
 from .dev_examples import EXAMPLES, WORKER_CAPACITY, WORKER_COUNT, ZONES
@@ -33,18 +33,12 @@
         anyio.run(partial(_run, folder, keep=keep))
 
 
-def _find_free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def _run(folder: str, *, keep: bool) -> None:
     from ..instance import Instance
 
-    peer_address = _find_free_address()
-    http_address = _find_free_address()
-    operator_address = _find_free_address()
+    peer_address = reserve_address()
+    http_address = reserve_address()
+    operator_address = reserve_address()
     settings = load_settings(
         {
             "instance_id": "dev",
@@ -107,7 +101,7 @@
         backend="backend-0",
         service="listing",
         zone=ZONES[0],
-        address=_find_free_address(),
+        address=reserve_address(),
         slots=8,
         connections=60,
         client=client,
--- a/src/dewspindle/_internal/instance.py
+++ b/src/dewspindle/_internal/instance.py
@@ -30,6 +30,7 @@
 from .network.observer import CellObserver
 from .network.peer_client import PeerClient
 from .network.peer_server import PeerServer
+from .replication.disk import Disk
 from .replication.formation import Formation
 from .replication.replica import Replica, load_context
 from .routing.attempts import CallAttempts
@@ -58,6 +59,7 @@
         *,
         timers: TimerService | None = None,
         rng: random.Random | None = None,
+        disk: Disk | None = None,
     ) -> None:
         self._settings = settings
         self._timers = timers or SystemTimerService()
@@ -82,7 +84,7 @@
         self._leader_services: LeaderServices | None = None
         self._make_routing()
         if settings.data_dir:
-            self._make_replica()
+            self._make_replica(disk or Disk())
         self._make_servers()
 
     @property
@@ -149,13 +151,14 @@
             metrics=self._metrics,
         )
 
-    def _make_replica(self) -> None:
+    def _make_replica(self, disk: Disk) -> None:
         context = load_context(
             settings=self._settings,
             timers=self._timers,
             transport=self._peer_client,
             view=self._view,
             rng=self._rng,
+            disk=disk,
         )
         self._replica = Replica(context)
         self._formation = Formation(context)
