Plan gangs on probation workers, quotas and retries by what is placed

Cause, found by reading: planning a gang takes a worker on probation out of the index, and undoing it left it out (KeyError in the second pass). A quota was checked for one task, then up to a turn's or a gang's were placed. A quota of 0 meant no limit to the planner and nothing to explain. A retry token was withdrawn before a worker was found. Change: the index remembers planned probes; the quota is checked for each task of a turn and for a whole gang; both sides share exceeds_quota; the token is withdrawn last.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -24,3 +24,36 @@
     Given a planner over 12 workers in 3 zones
     When a small and a large batch record wait and the objective is changed to packing
     Then the large record is placed first
+
+  # A worker on probation takes one task, so planning the gang takes it out of the index for a moment.
+  Scenario: A gang is placed with one of its tasks on a worker on probation
+    Given a planner over 3 workers in 3 zones
+    And worker w1 is on probation
+    When a gang record of 3 tasks that each need a whole worker is planned
+    Then 3 tasks are planned, one of them on worker w1
+
+  Scenario Outline: A team that may not borrow gets no more than its quota in one plan, as <kind>
+    Given a planner over 12 workers in 3 zones
+    And a quota of <quota> millicores without borrowing for the team
+    When a <kind> record of 4 tasks of 1000 millicores is planned
+    Then <count> tasks are planned
+
+    Examples:
+      | kind  | quota | count |
+      | batch | 2500  | 2     |
+      | batch | 4000  | 4     |
+      | gang  | 2500  | 0     |
+      | gang  | 4000  | 4     |
+
+  # In a quota, 0 sets no limit for a resource.
+  Scenario: The explanation of a waiting record names no quota of 0 as its reason
+    Given a planner over 0 workers in 3 zones
+    And a quota of 0 millicores without borrowing for the team
+    When a batch record of 1 tasks of 1000 millicores is planned
+    Then its explanation does not mention the quota
+
+  Scenario: A retry that finds no worker leaves the retry budget as it was
+    Given a planner over 0 workers in 3 zones
+    And a budget of a single retry
+    When a batch record that failed once before is planned 5 times
+    Then the budget still allows a retry
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -1,3 +1,4 @@
+import json
 import random
 from itertools import chain
 
@@ -9,7 +10,9 @@
 from dewspindle._internal.models.resources import NO_RESOURCES, Amounts, make_amounts
 from dewspindle._internal.models.tasks import ACTIVE_TASK_STATES, FINAL_RECORD_STATES
 from dewspindle._internal.scheduling.explain import explain_waiting
+from dewspindle._internal.scheduling.planner import Planner
 from dewspindle._internal.schema import cell_pb2, resources_pb2
+from dewspindle._internal.utils.budgets import RetryBudget
 
 ACTIONS = ("submit", "place", "report", "fail", "lose", "see", "shrink", "cancel", "change")
 
@@ -288,3 +291,71 @@
 @then("the large record is placed first")
 def then_large_first(context):
     assert context.first_placed == context.ids["large"]
+
+
+@given("worker {worker} is on probation")
+def given_probation(context, worker):
+    message = context.bench.state.worker_table.get(worker).message
+    message.quarantined = message.probing = True
+
+
+@given("a quota of {processors:d} millicores without borrowing for the team")
+def given_quota(context, processors):
+    quotas = {"teams": {"t": {"processors": processors, "no_borrowing": True}}}
+    body = cell_pb2.PutConfig(name="quotas", value=json.dumps(quotas).encode())
+    context.bench.apply(cell_pb2.Command(put_config=body))
+
+
+@given("a budget of a single retry")
+def given_budget(context):
+    context.budget = RetryBudget(
+        timers=context.bench.timers, retries_per_attempt=0, minimum_per_s=0, capacity=1
+    )
+
+
+@when("a {kind} record of {tasks:d} tasks that each need a whole worker is planned")
+def when_whole_planned(context, kind, tasks):
+    plan_record(context, kind, tasks, processors=8000)
+
+
+@when("a {kind} record of {tasks:d} tasks of {processors:d} millicores is planned")
+def when_planned(context, kind, tasks, processors):
+    plan_record(context, kind, tasks, processors=processors)
+
+
+def plan_record(context, kind, tasks, *, processors):
+    context.record_id = submit(context, kind, tasks, processors=processors).id
+    context.plan = context.bench.make_planner().make_plan()
+
+
+@when("a batch record that failed once before is planned {count:d} times")
+def when_retry_planned(context, count):
+    record_id = submit(context, "batch", 1).id
+    context.bench.state.records[record_id].tasks[0].failed_workers.append("w0")
+    planner = Planner(context.bench.state, timers=context.bench.timers, retry_budget=context.budget)
+    planner.rebuild()
+    for _ in range(count):
+        assert not planner.make_plan().assignments
+
+
+@then("{count:d} tasks are planned")
+def then_planned(context, count):
+    assert len(context.plan.assignments) == count, context.plan.assignments
+
+
+@then("{count:d} tasks are planned, one of them on worker {worker}")
+def then_planned_on(context, count, worker):
+    then_planned(context, count)
+    assert [a.worker for a in context.plan.assignments].count(worker) == 1
+
+
+@then("its explanation does not mention the quota")
+def then_no_quota(context):
+    text = explain_waiting(context.bench.state, context.bench.state.records[context.record_id])
+    assert text, "the record has no explanation"
+    assert "quota" not in text, text
+
+
+@then("the budget still allows a retry")
+def then_budget_left(context):
+    assert context.budget.try_withdraw()
--- a/src/dewspindle/_internal/cell/team_limits.py
+++ b/src/dewspindle/_internal/cell/team_limits.py
@@ -43,6 +43,18 @@
     return int(get_scheduling(state).max_waiting_tasks or DEFAULT_MAX_WAITING)
 
 
+def exceeds_quota(used: Amounts, quota: Amounts) -> bool:
+    """Return whether an amount exceeds a quota, in which 0 sets no limit for a resource."""
+    return any(
+        amount > limit > 0
+        for amount, limit in (
+            (used.processors, quota.processors),
+            (used.memory_mb, quota.memory_mb),
+            (used.accelerators, quota.accelerators),
+        )
+    )
+
+
 def make_quota_amounts(quota: documents_pb2.QuotaDocument) -> Amounts:
     """Return a quota as resource amounts."""
     return Amounts(quota.processors, quota.memory_mb, quota.accelerators)
--- a/src/dewspindle/_internal/scheduling/explain.py
+++ b/src/dewspindle/_internal/scheduling/explain.py
@@ -2,7 +2,7 @@
 
 from ..cell.estimates import estimate_task_resources
 from ..cell.state import CellState
-from ..cell.team_limits import get_quotas, make_quota_amounts
+from ..cell.team_limits import exceeds_quota, get_quotas, make_quota_amounts
 from ..models.enums import RecordKind
 from ..models.resources import Amounts, make_amounts
 from ..schema import cell_pb2
@@ -31,7 +31,10 @@
         return ""
     used = state.team_usage[record.team]
     limit = make_quota_amounts(quota)
-    if (used + make_amounts(record.resources)).fits_in(limit):
+    need = make_amounts(record.resources)
+    if record.kind == RecordKind.GANG.value:
+        need *= sum(task.state == TASK_PENDING for task in record.tasks)
+    if not exceeds_quota(used + need, limit):
         return ""
     return f"team {record.team} uses {used} of its quota of {limit} and may not borrow"
 
--- a/src/dewspindle/_internal/scheduling/index.py
+++ b/src/dewspindle/_internal/scheduling/index.py
@@ -33,6 +33,8 @@
         self._all_entries: SortedList = SortedList()
         self._by_zone: dict[str, SortedList] = {}
         self._with_accelerators: SortedList = SortedList()
+        # Workers on probation whose single task is planned, by worker.
+        self._planned_probes: dict[str, Candidate] = {}
 
     def __len__(self) -> int:
         return len(self._candidates)
@@ -50,6 +52,7 @@
         """Update a worker's entry, or remove it if no task may be placed on the worker."""
         message = worker_info.message
         self._remove(message.id)
+        self._planned_probes.pop(message.id, None)
         is_probe = message.quarantined and message.probing
         if message.lost or (message.quarantined and not is_probe):
             return
@@ -97,16 +100,20 @@
         self._remove_entries(candidate)
         candidate.free -= amounts
         if candidate.is_probe:
-            del self._candidates[worker]
+            self._planned_probes[worker] = self._candidates.pop(worker)
             return
         self._add_entries(candidate)
 
     def release(self, worker: str, amounts: Amounts) -> None:
-        """Undo an `allocate`, except for a worker on probation, which only `update` adds again."""
-        candidate = self._candidates.get(worker)
-        if candidate is None:
-            return
-        self._remove_entries(candidate)
+        """Undo an `allocate`; do nothing for a worker that is no longer usable."""
+        candidate = self._planned_probes.pop(worker, None)
+        if candidate is not None:
+            self._candidates[worker] = candidate
+        else:
+            candidate = self._candidates.get(worker)
+            if candidate is None:
+                return
+            self._remove_entries(candidate)
         candidate.free += amounts
         self._add_entries(candidate)
 
--- a/src/dewspindle/_internal/scheduling/planner.py
+++ b/src/dewspindle/_internal/scheduling/planner.py
@@ -180,7 +180,7 @@
             waiting = self._find_head(priority, team, blocked, refused[team])
             if waiting is None:
                 continue
-            if not self._quota_usage.may_take(team, waiting.shape.need):
+            if not self._quota_usage.may_take(team, _compute_smallest_part(waiting)):
                 refused[team].add(waiting.record.id)
             elif not self._place_tasks(waiting, plan):
                 blocked.add(waiting.shape)
@@ -207,10 +207,10 @@
         counts = self._count_spread(waiting.record)
         placed = 0
         for index in sorted(waiting.ready)[:TASKS_PER_TURN]:
-            if not self._may_retry(waiting.record.tasks[index]):
+            if not self._quota_usage.may_take(waiting.record.team, waiting.shape.need):
                 break
             choice = self._choose(waiting, counts)
-            if choice is None:
+            if choice is None or not self._may_retry(waiting.record.tasks[index]):
                 break
             self._assign(waiting, index, choice, counts, plan)
             placed += 1
@@ -334,6 +334,12 @@
                 self._waiting.remove(record_id)
 
 
+def _compute_smallest_part(waiting: WaitingRecord) -> Amounts:
+    """Return the resources of the tasks that can only be placed together."""
+    is_gang = waiting.record.kind == RecordKind.GANG.value
+    return waiting.shape.need * (len(waiting.ready) if is_gang else 1)
+
+
 def _is_complete_gang(record: cell_pb2.Record, ready: set[int]) -> bool:
     finished = (TASK_SUCCEEDED, TASK_CANCELLED)
     return all(task.index in ready or task.state in finished for task in record.tasks)
--- a/src/dewspindle/_internal/scheduling/teams.py
+++ b/src/dewspindle/_internal/scheduling/teams.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 
 from ..cell.state import CellState
-from ..cell.team_limits import get_quotas, make_quota_amounts
+from ..cell.team_limits import exceeds_quota, get_quotas, make_quota_amounts
 from ..models.resources import NO_RESOURCES, Amounts
 
 
@@ -58,15 +58,7 @@
         quota = self._quotas.get(team)
         if quota is None:
             return False
-        usage = self.get_usage(team) + extra
-        return any(
-            used > limit > 0
-            for used, limit in (
-                (usage.processors, quota.processors),
-                (usage.memory_mb, quota.memory_mb),
-                (usage.accelerators, quota.accelerators),
-            )
-        )
+        return exceeds_quota(self.get_usage(team) + extra, quota)
 
     def may_take(self, team: str, extra: Amounts) -> bool:
         """Return whether a team may use an extra amount, within its quota or by borrowing."""
