Drop unsent claims that time out, and end probes of callers that left

Cause, found by reading: a claim that timed out while still queued was withdrawn first and sent afterwards, so that it stayed committed without an outcome and blocked its key. A probe that ended by a disconnect left its backend server ejected until the next announcement of another process. Change: an unsent claim leaves the queue; a probe that ends without a verdict allows another. Tests: two scenarios of call_faults.feature, which fail on the code before. Left: a claim whose proposal reaches the leader after its withdrawal; the same leader connection carries both in order, a new connection in between may not.

--- a/features/call_faults.feature
+++ b/features/call_faults.feature
@@ -132,3 +132,15 @@
     Given a live cell of one instance with a backend server of 4 slots
     When a call with a body of 600000 bytes is made
     Then the response has status 200 and reports Dewspindle-Ran: yes
+
+  # Sent after its withdrawal, it would block its key for good.
+  Scenario: A claim that waits to be sent when its call gives up is never committed
+    Given claims whose leader does not answer
+    When a second claim times out while the first one is in flight
+    Then only the first claim was sent
+    And the first claim is withdrawn
+
+  Scenario: A backend server is probed again after a caller disconnected during its probe
+    Given a backend server that is ejected and whose ejection has passed
+    When the probe ends because its caller disconnects
+    Then the backend server gets another probe
--- a/src/dewspindle/_internal/routing/attempts.py
+++ b/src/dewspindle/_internal/routing/attempts.py
@@ -119,6 +119,10 @@
         try:
             buffered_answer = await self._exchange(call, attempt, responder)
         except BaseException as error:
+            if not isinstance(
+                error, AttemptFailedError
+            ):  # The caller has disconnected, for example.
+                self._directory.end_probe(attempt.backend)
             has_ended = isinstance(error, AttemptFailedError) and not error.may_have_run
             self._release_slot(attempt.backend, started_at, has_ended=has_ended)
             raise
--- a/src/dewspindle/_internal/routing/claims.py
+++ b/src/dewspindle/_internal/routing/claims.py
@@ -42,7 +42,7 @@
     existing: cell_pb2.CallClaim | None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PendingClaim:
     """A claim that waits to be committed with its batch."""
 
@@ -102,12 +102,12 @@
         self._wake.set()
         remaining = deadline - self._timers.now()
         if not await wait_for_event(self._timers, event=pending.done, seconds=remaining):
-            self._withdraw(claim)
+            self._withdraw(pending)
             raise CallRefusedError(
                 Refusal.CLAIM_UNAVAILABLE, "the claim was not committed before the deadline"
             )
         if pending.error is not None:
-            self._withdraw(claim)
+            self._withdraw(pending)
             raise CallRefusedError(Refusal.CLAIM_UNAVAILABLE, str(pending.error))
         existing = pending.existing
         assert existing is not None
@@ -119,8 +119,12 @@
         is_own = existing.instance == claim.instance
         return ClaimTicket(holder=claim.instance, existing=None if is_own else existing)
 
-    def _withdraw(self, claim: cell_pb2.CallClaim) -> None:
-        """Withdraw a claim that may still be committed, since its call does not run."""
+    def _withdraw(self, pending: PendingClaim) -> None:
+        """Withdraw a claim that is unsent or may still be committed, as its call does not run."""
+        if pending in self._pending:
+            self._pending.remove(pending)
+            return
+        claim = pending.claim
         withdrawn = cell_pb2.CallClaim(
             key=claim.key, instance=claim.instance, ran=ExecutionStatus.NO.value
         )
--- a/src/dewspindle/_internal/routing/directory.py
+++ b/src/dewspindle/_internal/routing/directory.py
@@ -198,6 +198,10 @@
         backend.ejections += 1
         backend.ejected_until = self._timers.now() + ejection_s
 
+    def end_probe(self, backend: Backend) -> None:
+        """Allow another probe, as the last one ended without telling how the backend server is."""
+        backend.has_probe_in_progress = False
+
     def is_ejected(self, backend: Backend) -> bool:
         """Return whether a backend server gets no calls at present because of failures."""
         if backend.ejected_until == 0.0:
