Refuse polls of a worker's process that a later one has replaced

Cause, found by reading: a poll of any other session was accepted, so two processes with one worker id took the tasks from each other by turns. Change: the state keeps the last eight replaced sessions of a worker; their polls get session-replaced with a hint, also from the next leader. Tests: a scenario of task_faults.feature in two variants, which fails on the code before.

--- a/features/steps/task_steps.py
+++ b/features/steps/task_steps.py
@@ -1,9 +1,10 @@
 from behave import given, then, when
 
 from dewspindle._internal.cell.listeners import StateListener
+from dewspindle._internal.exceptions import DewspindleError
 from dewspindle._internal.models.resources import Amounts
 from dewspindle._internal.models.tasks import FINAL_RECORD_STATES
-from dewspindle._internal.schema import cell_pb2
+from dewspindle._internal.schema import cell_pb2, documents_pb2, peers_pb2
 from features.lib.fleet import PollingFleet
 from features.lib.stepping import advance
 from features.steps.replication_steps import FAULTS, make_cell, start_cell
@@ -465,3 +466,65 @@
     assert record.state == cell_pb2.RECORD_FAILED, describe(record)
     assert record.code == code
     assert f"used {context.used} MB of the" in record.reason, record.reason
+
+
+@when("a second process polls as worker {name}")
+def when_second_process(context, name):
+    fleet = context.fleet
+    context.worker_name = name
+    context.first_session = fleet.get_state().worker_table.get(name).message.session
+    context.poll_error = poll_as(context, "second-process")
+
+
+@when("the first process of worker {name} polls again")
+def when_first_polls(context, name):
+    context.poll_error = poll_as(context, context.first_session)
+
+
+def poll_as(context, session):
+    """Poll once as a process of a worker and return the error, or None if it was accepted."""
+    message = context.fleet.get_state().worker_table.get(context.worker_name).message
+    context.poll_sequence = getattr(context, "poll_sequence", 100_000) + 1
+    poll = documents_pb2.PollDocument(
+        session=session, sequence=context.poll_sequence, zone=message.zone, rack=message.rack
+    )
+    poll.capacity.processors = message.capacity.processors
+    poll.capacity.memory_mb = message.capacity.memory_mb
+    request = peers_pb2.RelayPollRequest(worker=context.worker_name, poll=poll)
+    errors = []
+
+    async def relay():
+        try:
+            await context.fleet.cell.leader.leader_services.relay_poll(request)
+        except DewspindleError as error:
+            errors.append(error)
+        else:
+            errors.append(None)
+
+    async def start():
+        context.fleet.cell.start_soon(relay)
+
+    context.run(start())
+    advance(context, 1)
+    return errors[0]
+
+
+@when("the leader is replaced")
+def when_leader_replaced(context):
+    async def kill():
+        FAULTS["kill"](context.fleet.cell, context.fleet.cell.leader)
+
+    context.run(kill())
+    advance(context, 5)
+
+
+@then("its poll is refused with code {code}")
+def then_poll_refused(context, code):
+    assert context.poll_error is not None, "the poll was accepted"
+    assert context.poll_error.code == code, context.poll_error
+
+
+@then("worker {name} belongs to the second process")
+def then_second_process(context, name):
+    message = context.fleet.get_state().worker_table.get(name).message
+    assert message.session == "second-process", message
--- a/features/task_faults.feature
+++ b/features/task_faults.feature
@@ -121,3 +121,17 @@
       | 1000  | succeeds at the first attempt                                     |
       | 4000  | succeeds once its tasks are given 4000 MB                         |
       | 40000 | fails with code memory-exceeded and a reason with the memory used |
+
+  # Without this, two processes with one worker id take the tasks from each other by turns.
+  Scenario Outline: A poll of a process that a later one of the same worker replaced is refused <when>
+    Given a cell of 3 replicas with 6 workers
+    When a second process polls as worker w0
+    And <event>
+    And the first process of worker w0 polls again
+    Then its poll is refused with code session-replaced
+    And worker w0 belongs to the second process
+
+    Examples:
+      | when                     | event                  |
+      | at once                  | 1 seconds pass         |
+      | also after a new leader  | the leader is replaced |
--- a/src/dewspindle/_internal/cell/worker_changes.py
+++ b/src/dewspindle/_internal/cell/worker_changes.py
@@ -8,6 +8,8 @@
 from .transitions import update_record_state
 from .worker_table import WorkerInfo
 
+MAX_REPLACED_SESSIONS = 8  # Remembered for each worker.
+
 
 @applies("see_worker")
 def apply_see_worker(state: CellState, command: Command) -> Result:
@@ -31,6 +33,9 @@
     message = worker_info.message
     message.zone = seen.zone
     message.rack = seen.rack
+    if message.session != session:
+        replaced = [*message.replaced_sessions, message.session][-MAX_REPLACED_SESSIONS:]
+        message.replaced_sessions[:] = replaced
     message.session = session
     message.lost = False
     message.capacity.CopyFrom(seen.capacity)
--- a/src/dewspindle/_internal/workers/poll_service.py
+++ b/src/dewspindle/_internal/workers/poll_service.py
@@ -27,6 +27,14 @@
 logger = get_logger(__name__)
 
 
+class SessionReplacedError(DewspindleError):
+    """A poll comes from a process of the worker that a later one has replaced."""
+
+    code = "session-replaced"
+    status = 409
+    hint = "another process uses this worker id; end one of them or give it an id of its own"
+
+
 class StalePollError(DewspindleError):
     """A poll is not the newest of its worker, or the worker's loss is being committed."""
 
@@ -94,7 +102,7 @@
         """Commit a worker's reports, renew its task lease, and return its orders."""
         self.check_leadership()
         poll_state = self._get_poll_state(worker)
-        self._accept_poll(poll_state, poll)
+        self._accept_poll(worker, poll_state, poll)
         poll_state.polled_at = self._timers.now()
         await self._commit_worker_changes(worker, poll, poll_state)
         acknowledged = await self._commit_reports(worker, poll, poll_state)
@@ -109,8 +117,13 @@
             lease_ms=self._settings.task_lease_ms, orders=orders, acknowledged=acknowledged
         )
 
-    def _accept_poll(self, poll_state: WorkerPollState, poll: documents_pb2.PollDocument) -> None:
+    def _accept_poll(
+        self, worker: WorkerId, poll_state: WorkerPollState, poll: documents_pb2.PollDocument
+    ) -> None:
         """Store the session and sequence of a poll and end the held one, or refuse the poll."""
+        worker_info = self._view.state.worker_table.get(worker)
+        if worker_info is not None and poll.session in worker_info.message.replaced_sessions:
+            raise SessionReplacedError(f"a later process of worker {worker} has polled")
         if poll_state.is_loss_pending:
             raise StalePollError("the worker's task lease has ended; its loss is being committed")
         if poll_state.session == poll.session and poll.sequence <= poll_state.sequence:
