Check job ids, body sizes, attempt ranges and rejected renewals

Cause, found by reading: a job id with a dot broke the names of its tasks, so that they never ended. Jobs were keyed by id alone: a second queue acknowledged a job that it never ran, and could read and cancel that of the first. max_body_bytes of the queue table was never applied. Attempt numbers of a term were not bounded by its range. A worker that answered each renewal with a rejection counted as reachable, and its lease as renewed, while its tasks lapsed there. Tests: eleven scenarios of job_faults.feature, which fail on the code before.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -178,3 +178,58 @@
     Given a cell of 3 replicas whose leader sends orders to 2 workers
     When a worker sends its first heartbeat and at once another one that says it drains
     Then the leader knows it as draining
+
+  # Names of tasks consist of the job id and numbers with dots between them.
+  Scenario Outline: A job with the id <id> is refused with a code, and never runs
+    Given a cell of 3 replicas whose leader sends orders to 4 workers
+    When a job is submitted with the id <id>
+    Then the answer is 400 with the code invalid-job-id
+    And no task was started
+
+    Examples:
+      | id           |
+      | a.0.1        |
+      | a/b          |
+      | naïve        |
+      | %20          |
+
+  Scenario: A job id is used in one queue only
+    Given a cell of 3 replicas whose leader sends orders to 4 workers
+    And a second queue
+    When a job is submitted to each of the two queues with the same id
+    Then the first submission is answered with 200, the second with 409 and the code job-id-in-use
+    And the second queue has no job of this id to read or to cancel
+    And the job of the first queue succeeds
+
+  Scenario Outline: A submission of <size> bytes is <answer> where the queue table allows <limit>
+    Given a cell of 3 replicas whose leader sends orders to 4 workers
+    And a queue table that allows <limit> bytes a submission
+    When a job is submitted with a body of <size> bytes
+    Then the answer is <status> with the code <code>
+
+    Examples:
+      | limit | size    | answer   | status | code           |
+      | 2000  | 2000    | accepted | 200    | none           |
+      | 2000  | 2001    | refused  | 413    | body-too-large |
+      | 0     | 1048576 | accepted | 200    | none           |
+      | 0     | 1048577 | refused  | 413    | body-too-large |
+
+  # No two leaders may give one number to different attempts of a task.
+  Scenario: A term ends rather than use attempt numbers of the next one
+    Given a cell of 3 replicas whose leader sends orders to 4 workers
+    And workers that have seen 1048576 attempts of the next job's tasks
+    And a job of 1 tasks of 1 seconds
+    When the leader has used all attempt numbers of its term but one
+    And the cell runs for 40 seconds
+    Then every accepted job succeeded
+    And the attempts of each term lie in the range of that term
+
+  # Its tasks lapse, so they have to run elsewhere.
+  Scenario: Tasks of a worker that rejects each lease renewal run elsewhere
+    Given a cell of 3 replicas whose leader sends orders to 4 workers
+    And a job of 4 tasks of 2 seconds
+    When the cell runs for 1 seconds
+    And one worker with tasks rejects each lease renewal
+    And the cell runs for 30 seconds
+    Then every accepted job succeeded
+    And no scheduling rule was broken
--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -95,6 +95,11 @@
             and 0 < limit <= unit_progress.failures
         )
 
+    def belongs_to(self, queue: jobs_pb2.Queue) -> bool:
+        """Return whether the job was submitted to a queue, whatever its settings are by now."""
+        own = self._message.queue
+        return (own.host, own.path_prefix) == (queue.host, queue.path_prefix)
+
 
 class JobStore:
     """All known jobs, and the called workers and queues that they use."""
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..cell.jobs import StoredJob
 from ..cell.listeners import StateListener
@@ -30,9 +31,7 @@
 
 REJECTED_RETRY_DELAY_S = 0.1  # Before a retry after a worker rejected the start.
 FAILED_RETRY_DELAY_S = 0.05
-# Attempt numbers skipped when a worker has seen an attempt unknown to this leader, so that few
-# retries pass all those that it has seen.
-SUPERSEDED_ATTEMPT_SKIP = 16
+HAND_OVER_RETRY_DELAY_S = 5.0  # Between two attempts to transfer the leadership.
 PLAN_INTERVAL_S = 0.01  # Minimum time between two rounds, so that one round handles many events.
 # Pause after a round as a multiple of its duration, so that planning does not delay answers.
 PLAN_PAUSE_FACTOR = 3.0
@@ -120,12 +119,14 @@
             on_rejected=self._requeue_rejected,
         )
         self._workers_reconciled = False
+        self._group: TaskGroup | None = None
 
     async def run(self) -> None:
         """Dispatch until cancelled."""
         self._view.state.subscribe(self)
         try:
             async with anyio.create_task_group() as group:
+                self._group = group
                 self._sessions.open(group)
                 self._orders.open(group)
                 self._advice.start(group)
@@ -135,6 +136,7 @@
                 group.start_soon(self._report_load)
                 await self._plan_rounds()
         finally:
+            self._group = None
             self._sessions.close()
             self._orders.close()
             self._view.state.unsubscribe(self)
@@ -421,6 +423,9 @@
         unit, step = start.unit, start.unit.step
         attempt = unit.allocate_attempt(term=self._term)
         now = self._timers.now()
+        if attempt is None:
+            self._hand_over(unit)
+            return
         step.run.has_started = True
         # One line for a whole gang; `waited_s` counts from the acceptance of the job for each step.
         logger.info(
@@ -457,6 +462,19 @@
                 ticket=start.tickets.get(worker_id, ""),
             )
 
+    def _hand_over(self, unit: UnitRun) -> None:
+        """Let another term begin, which has attempt numbers of its own for a unit."""
+        logger.error(
+            "attempt numbers of the term used up; transferring leadership",
+            job=unit.step.run.stored.id,
+            position=unit.unit.first_position,
+            term=self._term,
+        )
+        unit.not_before = self._timers.now() + HAND_OVER_RETRY_DELAY_S
+        self._planner.requeue(unit)
+        if self._group is not None:
+            self._group.start_soon(self._replica.transfer_leadership)
+
     def _make_ref(self, key: JobTaskKey, stored: StoredJob) -> TaskRef:
         occurrence, step, index = stored.layout.locate(key[1])
         return TaskRef(job=key[0], occurrence=occurrence, step=step, index=index)
@@ -472,7 +490,7 @@
         if outcome is OrderOutcome.TICKET_INVALID:
             self._advice.get(unit.step.key).drop_ticket(placement.worker.id)
         elif outcome is OrderOutcome.SUPERSEDED:
-            unit.attempt += SUPERSEDED_ATTEMPT_SKIP
+            unit.skip_attempts()
         # A passed deadline is no sign of a fault of the worker. Every other outcome that is not
         # handled above suspends it, including FENCED and INVALID.
         elif outcome is not OrderOutcome.DEADLINE_PASSED:
@@ -506,10 +524,7 @@
     def count_waiting(self, queue: jobs_pb2.Queue) -> int:
         """Return how many open jobs of a queue have no task that was started."""
         return sum(
-            not run.has_started
-            and run.stored.message.queue.host == queue.host
-            and run.stored.message.queue.path_prefix == queue.path_prefix
-            for run in self._runs.values()
+            not run.has_started and run.stored.belongs_to(queue) for run in self._runs.values()
         )
 
     def has_started(self, job_id: JobId) -> bool:
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -1,8 +1,9 @@
 """Handles callers' requests about jobs on the leader."""
 
+from ..cell.jobs import StoredJob
 from ..cell.view import CellView
 from ..models.enums import JobStatus
-from ..models.ids import JobId
+from ..models.ids import JobId, is_valid_job_id
 from ..replication.replica import Replica
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..schema.jobs_pb2 import JOB_CANCELLED, JOB_FAILED, JOB_SUCCEEDED
@@ -12,6 +13,7 @@
 from ..utils.refusals import Refusal
 from .dispatcher import JobDispatcher
 
+DEFAULT_MAX_BODY_BYTES = 1024 * 1024  # Of a submission, where the queue table sets no limit.
 NOT_CONFIGURED_RETRY_MS = 1000  # At start-up callers may come before the first queue table.
 
 _STATUSES = {
@@ -44,15 +46,33 @@
             if queue is None:
                 answers[number] = self._refuse_without_queue(item)
             elif item.call == JOB_SUBMIT:
-                submits.append(self._make_job(item, queue))
+                answers[number] = self._check_submission(item, queue)
+                if answers[number] is None:
+                    submits.append(self._make_job(item, queue))
             elif item.call == JOB_CANCEL:
-                cancels.append(item.path[len(queue.path_prefix) :])
+                job = self._find_job(item, queue)
+                if job is not None:
+                    cancels.append(job.id)
         await self._commit(submits, cancels)
         for number, item in enumerate(request.requests):
             if answers[number] is None:
                 answers[number] = self._make_answer(item)
         return peers_pb2.RelayJobsAnswer(answers=[a for a in answers if a is not None])
 
+    def _check_submission(self, item: JobRequest, queue: jobs_pb2.Queue) -> JobAnswer | None:
+        """Return the refusal of a submission that can never be accepted, or None."""
+        limit = self._store.queue_table.max_body_bytes or DEFAULT_MAX_BODY_BYTES
+        if item.body_bytes > limit:
+            return self._refuse(item, Refusal.BODY_TOO_LARGE, 413)
+        if not is_valid_job_id(item.path[len(queue.path_prefix) :]):
+            return self._refuse(item, Refusal.INVALID_JOB_ID, 400)
+        return None
+
+    def _find_job(self, item: JobRequest, queue: jobs_pb2.Queue) -> StoredJob | None:
+        """Return the job that a path names, or None if the queue has no such job."""
+        job = self._store.jobs.get(JobId(item.path[len(queue.path_prefix) :]))
+        return job if job is not None and job.belongs_to(queue) else None
+
     def _make_job(self, item: JobRequest, queue: jobs_pb2.Queue) -> jobs_pb2.Job:
         return jobs_pb2.Job(id=item.path[len(queue.path_prefix) :], queue=queue, spec=item.spec)
 
@@ -90,26 +110,26 @@
         return JobAnswer(status=status, code=refusal.value, retry_after_ms=retry_after_ms)
 
     def _make_answer(self, item: JobRequest) -> JobAnswer:
-        if item.call == JOB_SUBMIT:
-            return JobAnswer(status=200)
         queue = self._store.find_queue(item.host, item.path)
         if queue is None:
-            return self._refuse_without_queue(item)
-        job_id = JobId(item.path[len(queue.path_prefix) :])
-        if item.call == JOB_READ and not job_id:
+            # A submission that was committed before the queue was removed is accepted all the same.
+            is_accepted = item.call == JOB_SUBMIT
+            return JobAnswer(status=200) if is_accepted else self._refuse_without_queue(item)
+        if item.call == JOB_READ and item.path == queue.path_prefix:
             waiting = self._dispatcher.count_waiting(queue)
             return JobAnswer(status=200, counted=True, waiting=waiting)
-        job = self._store.jobs.get(job_id)
+        job = self._find_job(item, queue)
+        if job is None and item.call == JOB_SUBMIT:
+            return self._refuse(item, Refusal.JOB_ID_IN_USE, 409)
         if job is None:
             return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
         if item.call != JOB_READ:
             return JobAnswer(status=200)
-        return JobAnswer(status=200, state=self._get_status(job_id).value)
+        return JobAnswer(status=200, state=self._get_status(job).value)
 
-    def _get_status(self, job_id: JobId) -> JobStatus:
-        job = self._store.jobs[job_id]
+    def _get_status(self, job: StoredJob) -> JobStatus:
         ended = _STATUSES.get(job.message.state)
         if ended is not None:
             return ended
-        has_started = self._dispatcher.has_started(job_id)
+        has_started = self._dispatcher.has_started(job.id)
         return JobStatus.RUNNING if has_started else JobStatus.WAITING
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -10,9 +10,12 @@
 from ..schema import jobs_pb2
 from .fleet import Placement
 
-# Attempt numbers reserved per term, as those that a lost leader used may be unknown. A term that
-# uses more takes numbers of the next one.
-ATTEMPTS_PER_TERM = 64
+# Attempt numbers of a task in one term. Those that a lost leader used may be unknown, so no term
+# takes numbers of another one.
+ATTEMPTS_PER_TERM = 1 << 20
+# Attempt numbers skipped when a worker has seen an attempt unknown to this leader, so that few
+# retries pass all those that it has seen.
+SUPERSEDED_ATTEMPT_SKIP = 16
 
 
 class UnitRun:
@@ -51,8 +54,12 @@
         """Return whether the unit still has to run and none of its tasks is placed."""
         return not self.placements and not self.is_done
 
-    def allocate_attempt(self, *, term: int) -> int:
-        """Return the next attempt number, above all that may have been used."""
+    def skip_attempts(self) -> None:
+        """Pass over attempt numbers that a worker may have seen."""
+        self.attempt += SUPERSEDED_ATTEMPT_SKIP
+
+    def allocate_attempt(self, *, term: int) -> int | None:
+        """Return the next attempt number, or None if the term has none left for the unit."""
         stored = self.step.run.stored
         known = [self.attempt]
         for position in self.unit.positions:
@@ -60,8 +67,11 @@
             if progress is not None:
                 known.append(progress.last_ended_attempt)
         first = max(0, term - stored.message.accepted_term) * ATTEMPTS_PER_TERM
-        self.attempt = max(*known, first) + 1
-        return self.attempt
+        attempt = max(*known, first) + 1
+        if attempt > first + ATTEMPTS_PER_TERM:
+            return None
+        self.attempt = attempt
+        return attempt
 
 
 class StepRun:
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -27,8 +27,8 @@
 RENEWAL_WAIT_S = 1.0
 RENEWAL_TIMEOUT_MARGIN_S = 0.6  # Round trip over a lossy link, in addition to the wait.
 IDLE_CHECK_S = 2.0  # Between checks whether an idle worker is gone.
-# Consecutive unanswered lease renewals; a single one may be lost in the network.
-UNANSWERED_BEFORE_UNREACHABLE = 2
+# Consecutive lease renewals, rejected or unanswered; a single one may be lost in the network.
+FAILED_BEFORE_UNREACHABLE = 2
 RETRY_DELAY_S = 0.4
 MAX_RETRY_DELAY_S = 2.0  # Between lease renewals to a worker that does not answer.
 # A worker that has left is assumed to have ended its tasks this long after the session notices it.
@@ -96,7 +96,7 @@
         self._wake = Signal()
         self._acknowledged_through = 0  # Number of the last task end acknowledged to the worker.
         self._committed_through = 0  # Number of the last task end that is committed.
-        self._unanswered_renewals = 0  # Consecutive ones.
+        self._failed_renewals = 0  # Consecutive ones.
         self._left_at: float | None = None  # When the session noticed that the worker has left.
         self._skip_wait = False
         self._renewal_scope: anyio.CancelScope | None = None
@@ -174,7 +174,8 @@
         except NoDefiniteAnswerError as error:
             if is_renewed and isinstance(error, AnswerTimeoutError):
                 worker.lease.record_unanswered(sent_at=sent_at, seconds=self._lease_s)
-            await self._handle_unreachable(error)
+            worker.missed_renewal = True
+            await self._handle_failed_renewal(str(error))
             return
         finally:
             self._renewal_scope = None
@@ -185,27 +186,28 @@
             worker.lease.record_clock(answer.clock_ms, received_at=self._timers.now())
         if answer.outcome is not OrderOutcome.ACCEPTED:
             logger.warning("lease renewal rejected", worker=worker.id, outcome=answer.outcome.value)
-            await self._timers.sleep(RETRY_DELAY_S)
+            # Its tasks lapse, so their lease must not count as renewed.
+            await self._handle_failed_renewal(f"it answers {answer.outcome.value}")
             return
         self._acknowledged_through = order.acknowledged_through
         await self._apply_answer(answer, sent_at=sent_at)
 
-    async def _handle_unreachable(self, error: NoDefiniteAnswerError) -> None:
+    async def _handle_failed_renewal(self, why: str) -> None:
+        """Count a renewal that was rejected or not answered; report tasks whose lease is over."""
         worker = self._worker
-        self._unanswered_renewals += 1
-        worker.missed_renewal = True
-        if self._unanswered_renewals < UNANSWERED_BEFORE_UNREACHABLE and worker.is_reachable:
-            logger.info("lease renewal unanswered", worker=worker.id, why=str(error))
+        self._failed_renewals += 1
+        if self._failed_renewals < FAILED_BEFORE_UNREACHABLE and worker.is_reachable:
+            logger.info("lease renewal failed", worker=worker.id, why=why)
             return
         if worker.is_reachable:
-            logger.warning("worker unreachable", worker=worker.id, why=str(error))
+            logger.warning("worker unreachable", worker=worker.id, why=why)
         worker.is_reachable = False
         may_orders_arrive_late = self._owner.may_orders_arrive_late()
         if worker.lease.is_over(self._timers.now(), may_orders_arrive_late=may_orders_arrive_late):
             await self._report_all_lost("the lease has expired")
             worker.is_reconciled = True
             self._owner.wake_planner()
-        await self._timers.sleep(min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._unanswered_renewals))
+        await self._timers.sleep(min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._failed_renewals))
 
     async def _report_all_lost(self, reason: str) -> None:
         """Report all tasks placed on the worker as lost."""
@@ -226,7 +228,7 @@
         worker = self._worker
         if not worker.is_reachable:
             logger.info("worker reachable again", worker=worker.id)
-        self._unanswered_renewals = 0
+        self._failed_renewals = 0
         was_reachable_and_reconciled = worker.is_reachable and worker.is_reconciled
         worker.is_reachable = True
         new = [ended for ended in answer.ended if ended.number > self._committed_through]
--- a/src/dewspindle/_internal/models/ids.py
+++ b/src/dewspindle/_internal/models/ids.py
@@ -1,5 +1,6 @@
 """Id types."""
 
+import re
 from typing import NewType
 
 InstanceId = NewType("InstanceId", str)
@@ -10,6 +11,14 @@
 BackendId = NewType("BackendId", str)
 JobId = NewType("JobId", str)
 
+# Names of tasks are made of the job id and numbers, with dots between them.
+_JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+
+def is_valid_job_id(text: str) -> bool:
+    """Return whether a text that a caller chose may name a job."""
+    return _JOB_ID_PATTERN.fullmatch(text) is not None
+
 
 def make_task_id(record: str, index: int) -> TaskId:
     """Return the id of a record's task."""
--- a/src/dewspindle/_internal/platform/client_app.py
+++ b/src/dewspindle/_internal/platform/client_app.py
@@ -21,7 +21,8 @@
 from .asgi import ClientDisconnectedError, Receive, Scope, Send, get_header, read_body, send_json
 from .job_bodies import STATUS_NAMES, decode_job
 
-MAX_BODY_BYTES = 1024 * 1024  # The limit in the queue table, `max_body_bytes`, is not applied.
+# Buffered for one request. The leader applies the limit of the queue table, which it knows.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 RESPONSE_MARGIN_S = 0.1  # Part of a caller's deadline reserved for sending the response.
 MIN_TIMEOUT_S = 0.05
 RETRY_AFTER_S = 1  # Approximate duration of an election.
@@ -73,6 +74,7 @@
             path=scope["path"],
         )
         if call == JOB_SUBMIT:
+            request.body_bytes = len(body)
             request.spec.CopyFrom(decode_job(body))
         return request
 
--- a/src/dewspindle/_internal/utils/refusals.py
+++ b/src/dewspindle/_internal/utils/refusals.py
@@ -21,6 +21,9 @@
     NO_QUEUE = "no-queue"
     NO_SUCH_JOB = "no-such-job"
     NOT_CONFIGURED = "not-configured"
+    INVALID_JOB_ID = "invalid-job-id"
+    JOB_ID_IN_USE = "job-id-in-use"
+    BODY_TOO_LARGE = "body-too-large"
     NO_LEADER = "no-leader"
     # Calls.
     FENCED = "fenced"
