Reserve the workers on which gangs fit first, and give them a choice of approved ones

Load it answers: a nearly full fleet that is asked for wide gangs of large tasks. Ruled out: the order. Change: requests for a gang are sized by the odds learnt for its queue and sent at the same time; up to eight gangs a round reserve the workers on which they are expected to fit first, by the expected ends of the tasks there; other tasks run on these only if they end in time; tickets of reserved workers are renewed just before the start. Tasks of higher rank prefer other workers. Gangs, advice and the state of a round are modules of their own.

--- a/features/advice.feature
+++ b/features/advice.feature
@@ -68,12 +68,6 @@
     When 5 tasks need advice beside a worker that is already approved
     Then no worker is listed
 
-  Scenario: A gang's request lists full workers beside free ones, as the gang waits for them to drain
-    Given workers a to f with room for 3 tasks each
-    And workers a and b are full
-    When a gang of 5 needs advice and a and b were approved before
-    Then the listed workers are a, b, c, d, e and f
-
   Scenario: Full workers are listed if no worker is already approved
     Given workers a to f with room for 0 tasks each
     When 5 tasks need advice and a and b were approved before
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -78,7 +78,7 @@
             while not self.is_answered and self.clock.now < began_at + seconds:
                 for key in self.keys:
                     if not self.client.get(key).has_ticket("w", self.timers.now()):
-                        self.client.ask(AdviceRequest(key, ["w"], self.expected_s, rank=(0,)))
+                        self.client.ask(AdviceRequest(key, "queue", ["w"], self.expected_s, (0,)))
                 self.client.dispatch()
                 await self.clock.advance(0.01)
             group.cancel_scope.cancel()
@@ -158,14 +158,13 @@
     context.fitting_tasks.update(a=0, b=0)
 
 
-def list_candidates(context, needed, approved, may_include_full, *, is_gang=False):
+def list_candidates(context, needed, approved, may_include_full):
     # `may_include_full` is false for a step that already has an approved worker.
     context.listed = choose_advice_candidates(
         context.fitting_tasks,
         approved_before=approved,
         needed=needed,
         may_include_full=may_include_full,
-        is_gang=is_gang,
         decision_ms=100,
         per_worker_ms=10,
     )
@@ -176,11 +175,6 @@
     list_candidates(context, needed, {"a", "b"}, True)
 
 
-@when("a gang of {needed:d} needs advice and a and b were approved before")
-def when_gang_needed(context, needed):
-    list_candidates(context, needed, {"a", "b"}, True, is_gang=True)
-
-
 @when("{needed:d} tasks need advice beside a worker that is already approved")
 def when_needed_beside(context, needed):
     list_candidates(context, needed, set(), False)
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -8,6 +8,7 @@
 from ..exceptions import DewspindleError
 from ..models.ids import JobId
 from ..replication.transport import PeerUnreachableError
+from ..scheduling.job_advice import ApprovalOdds
 from ..schema import jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
@@ -43,7 +44,7 @@
     tickets: dict[str, str] = field(default_factory=dict)
     expires_at: dict[str, float] = field(default_factory=dict)  # By worker, unless rejected.
     refused: set[str] = field(default_factory=set)
-    is_pending: bool = False
+    pending: set[str] = field(default_factory=set)  # Workers listed in requests without answer.
     failures: int = 0  # Consecutive calls without a decision.
     retry_at: float = float("-inf")
 
@@ -55,20 +56,38 @@
         """Return the workers whose tickets stay valid long enough for a start."""
         return [worker for worker in self.expires_at if self.has_ticket(worker, now)]
 
+    @property
+    def is_pending(self) -> bool:
+        """Return whether a request is pending."""
+        return bool(self.pending)
+
     def may_ask(self, now: float) -> bool:
-        """Return whether no request is pending and the retry delay has passed."""
-        return not self.is_pending and now >= self.retry_at
+        """Return whether the delay after a failed call has passed."""
+        return now >= self.retry_at
+
+    def needs_renewal(self, worker_id: str, now: float, *, within_s: float) -> bool:
+        """Return whether the ticket of an approved worker ends within a time."""
+        return self.expires_at.get(worker_id, 0.0) < now + within_s
+
+    def record_decision(
+        self, workers: Iterable[str], approved: Mapping[str, str], *, expires_at: float
+    ) -> None:
+        """Store the advisor's decision on the workers of a request."""
+        self.tickets.update(approved)
+        self.expires_at.update(dict.fromkeys(approved, expires_at))
+        self.refused.update(worker for worker in workers if worker not in approved)
 
     def drop_ticket(self, worker_id: str) -> None:
         """Mark a ticket that a worker rejected as not valid."""
         self.expires_at.pop(worker_id, None)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class AdviceRequest:
     """A request for advice that waits for a free helper."""
 
     key: StepKey
+    queue: str
     workers: list[str]
     expected_s: float
     rank: tuple[float, ...]
@@ -125,12 +144,18 @@
         self._metrics = metrics
         self._on_answer = on_answer
         self._steps: dict[StepKey, StepAdvice] = {}
-        self._waiting: dict[StepKey, AdviceRequest] = {}
+        self._waiting: list[AdviceRequest] = []
+        self._odds = ApprovalOdds()
         self._calls_in_flight: dict[str, bool] = {}  # Whether the call is long, by helper.
         self._penalized_until: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
 
+    @property
+    def odds(self) -> ApprovalOdds:
+        """Return the learnt odds that the advisor approves a worker."""
+        return self._odds
+
     def start(self, group: TaskGroup) -> None:
         """Use a task group for calls."""
         self._group = group
@@ -143,17 +168,19 @@
         return advice
 
     def forget(self, key: StepKey) -> None:
-        """Drop the advice and the waiting request of a step."""
+        """Drop the advice and the waiting requests of a step."""
         self._steps.pop(key, None)
-        self._waiting.pop(key, None)
+        self._waiting = [request for request in self._waiting if request.key != key]
 
     def ask(self, request: AdviceRequest) -> None:
-        """Queue a request unless one is pending for the step or failed recently."""
+        """Queue a request unless it lists a pending worker or a call failed recently."""
         advice = self.get(request.key)
         if not request.workers or not advice.may_ask(self._timers.now()):
             return
-        advice.is_pending = True
-        self._waiting[request.key] = request
+        if not advice.pending.isdisjoint(request.workers):
+            return
+        advice.pending.update(request.workers)
+        self._waiting.append(request)
 
     def dispatch(self) -> None:
         """Send waiting requests through free helpers, in rank order."""
@@ -163,7 +190,7 @@
         helpers = list(self._list_helpers())
         self._penalized_until = {h: at for h, at in self._penalized_until.items() if at > now}
         free = {helper for helper in helpers if helper.address not in self._calls_in_flight}
-        for request in sorted(self._waiting.values(), key=lambda item: item.rank):
+        for request in sorted(self._waiting, key=lambda item: item.rank):
             if not free:
                 return
             # Of several helpers, one is kept free of long calls.
@@ -176,7 +203,7 @@
                 penalized=self._penalized_until,
             )
             free.remove(helper)
-            del self._waiting[request.key]
+            self._waiting.remove(request)
             self._calls_in_flight[helper.address] = request.is_long
             self._used_at[helper.address] = now
             self._group.start_soon(self._call_helper, helper.address, request)
@@ -215,7 +242,7 @@
         self._calls_in_flight.pop(helper, None)
         advice = self._steps.get(request.key)
         if advice is not None:
-            advice.is_pending = False
+            advice.pending.difference_update(request.workers)
             self._apply_answer(advice, request, answer)
         self._on_answer()
 
@@ -234,6 +261,10 @@
             return
         advice.failures = 0
         approved = {approval.worker: approval.ticket for approval in answer.approvals}
-        advice.tickets.update(approved)
-        advice.expires_at.update(dict.fromkeys(approved, now + answer.validity_ms / 1000))
-        advice.refused.update(worker for worker in request.workers if worker not in approved)
+        first = [worker for worker in request.workers if worker not in advice.tickets]
+        self._odds.record(
+            request.queue, listed=len(first), approved=sum(w in approved for w in first)
+        )
+        advice.record_decision(
+            request.workers, approved, expires_at=now + answer.validity_ms / 1000
+        )
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -0,0 +1,156 @@
+"""Chooses in a planning round which workers the advisor is asked about."""
+
+import math
+
+from ..models.resources import Amounts
+from ..scheduling.job_advice import (
+    choose_advice_candidates,
+    compute_affordable,
+    count_workers_to_list,
+    split_request,
+)
+from ..scheduling.job_placement import count_fitting
+from ..schema import jobs_pb2
+from .advice import AdviceClient, AdviceRequest, StepAdvice, estimate_call_s
+from .fleet import FleetWorker
+from .planning_round import PlanningRound
+from .runs import StepRun
+
+# Requests in one round. Steps of lower rank wait for free capacity anyway, so their tickets are
+# not kept valid.
+MAX_REQUESTS_PER_ROUND = 12
+# Tickets of workers reserved for a gang are renewed this long before the call that renews them
+# would have to begin.
+RENEWAL_MARGIN_S = 0.3
+
+Rank = tuple[float, ...]
+
+
+class AdvicePlanner:
+    """Requests advice for steps that may start soon."""
+
+    def __init__(self, client: AdviceClient) -> None:
+        self._client = client
+
+    def ask_for_tasks(
+        self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound, *, rank: Rank
+    ) -> None:
+        """Request advice on workers with capacity for single tasks."""
+        advice = self._client.get(step.key)
+        if not self._may_ask(queue, advice, round_) or advice.is_pending:
+            return
+        fits = {
+            worker.id: count_fitting(step.amounts, round_.get_free(worker))
+            for worker in round_.get_usable(queue.pool).values()
+            if worker.id not in advice.refused
+            and not advice.has_ticket(worker.id, round_.now)
+            and step.accepts(worker.message.labels)
+        }
+        workers = choose_advice_candidates(
+            fits,
+            approved_before=advice.tickets.keys(),
+            needed=len(step.waiting),
+            may_include_full=not advice.list_valid(round_.now),
+            decision_ms=queue.advisor.decision_ms,
+            per_worker_ms=queue.advisor.per_worker_ms,
+        )
+        self._send(step, queue, round_, workers, rank=rank)
+
+    def ask_for_gang(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        round_: PlanningRound,
+        approved: list[FleetWorker],
+        *,
+        rank: Rank,
+    ) -> None:
+        """Request advice on as many further workers as leave a gang a choice."""
+        advice = self._client.get(step.key)
+        if not self._may_ask(queue, advice, round_):
+            return
+        count = count_workers_to_list(
+            filled=count_filled_workers(step, round_.get_largest_capacity(queue.pool)),
+            approved=len(approved),
+            pending=len(advice.pending),
+            odds=self._client.odds.get(queue.name),
+        )
+        if not count:
+            return
+        undecided = [
+            worker
+            for worker in round_.get_usable(queue.pool).values()
+            if worker.id not in advice.tickets
+            and worker.id not in advice.refused
+            and worker.id not in advice.pending
+            and step.accepts(worker.message.labels)
+            and step.amounts.fits_in(worker.capacity)
+        ]
+        undecided.sort(key=lambda w: -count_fitting(step.amounts, round_.get_free(w)))
+        affordable = compute_affordable(
+            decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
+        )
+        for workers in split_request([w.id for w in undecided[:count]], affordable=affordable):
+            self._send(step, queue, round_, workers, rank=rank)
+
+    def renew_for_gang(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        round_: PlanningRound,
+        workers: frozenset[str],
+        *,
+        ready_at: float,
+        rank: Rank,
+    ) -> None:
+        """Renew the tickets of workers reserved for a gang that would end before its start."""
+        advice = self._client.get(step.key)
+        if not self._may_ask(queue, advice, round_):
+            return
+        call_s = estimate_call_s(queue.advisor, len(workers))
+        if round_.now + call_s + RENEWAL_MARGIN_S < ready_at:
+            return
+        expiring = [
+            worker
+            for worker in sorted(workers)
+            if worker not in advice.pending
+            and advice.needs_renewal(worker, round_.now, within_s=call_s + RENEWAL_MARGIN_S)
+        ]
+        self._send(step, queue, round_, expiring, rank=rank)
+
+    @staticmethod
+    def _may_ask(queue: jobs_pb2.Queue, advice: StepAdvice, round_: PlanningRound) -> bool:
+        return (
+            queue.HasField("advisor")
+            and round_.advice_request_count < MAX_REQUESTS_PER_ROUND
+            and advice.may_ask(round_.now)
+        )
+
+    def _send(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        round_: PlanningRound,
+        workers: list[str],
+        *,
+        rank: Rank,
+    ) -> None:
+        if not workers:
+            return
+        round_.advice_request_count += 1
+        self._client.ask(
+            AdviceRequest(
+                key=step.key,
+                queue=queue.name,
+                workers=workers,
+                expected_s=estimate_call_s(queue.advisor, len(workers)),
+                rank=rank,
+            )
+        )
+
+
+def count_filled_workers(step: StepRun, capacity: Amounts) -> int:
+    """Return how many empty workers of a capacity a gang fills."""
+    fitting = count_fitting(step.amounts, capacity)
+    limit = step.message.max_per_worker or step.message.count
+    return math.ceil(step.message.count / max(1, min(fitting, limit)))
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -24,7 +24,8 @@
 from .gateway import ActiveTask, OrderOutcome, WorkerGateway
 from .helper_registry import Helper
 from .orders import OrderSender
-from .planning import JobPlanner, PlannedStart
+from .planning import JobPlanner
+from .planning_round import PlannedStart
 from .runs import JobRun, UnitRun
 from .session import WorkerSession
 from .session_manager import WorkerSessionManager
@@ -392,11 +393,13 @@
             began_at = self._timers.now()
             if self._replica.may_act_as_leader:
                 self._check_reconciled()
-                starts = self._planner.plan(
+                plan = self._planner.plan(
                     workers_reconciled=self._workers_reconciled, early_ms=self._limits.early_ms
                 )
-                for start in starts:
+                for start in plan.starts:
                     self._start_unit(start)
+                for placement in plan.preempted:
+                    self._order_stop(placement, "a job of higher priority needs its worker")
                 self._advice.dispatch()
             took_s = self._timers.now() - began_at
             await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s))
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -1,75 +1,30 @@
 """Selects in each planning round which waiting tasks start on which workers."""
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import Any
 
 from ..cell.jobs import JobStore
-from ..models.resources import Amounts
-from ..scheduling.job_advice import choose_advice_candidates
+from ..scheduling.gang_reservation import reserve_workers
 from ..scheduling.job_order import compute_rank
-from ..scheduling.job_placement import (
-    choose_worker,
-    compute_max_free_fraction,
-    count_fitting,
-    pack_gang,
-)
+from ..scheduling.job_placement import choose_worker, compute_max_free_fraction, pack_gang
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
-from .advice import AdviceClient, AdviceRequest, StepAdvice, StepKey, estimate_call_s
+from .advice import AdviceClient, StepKey
+from .advice_planner import AdvicePlanner
 from .fleet import Fleet, FleetWorker
+from .planning_round import JobPlan, PlannedStart, PlanningRound
 from .runs import JobRun, StepRun, UnitRun
 
-# Steps that may request advice in one round. Steps of lower rank wait for free capacity anyway,
-# so their tickets are not kept valid.
-MAX_ADVICE_REQUESTS = 12
+# Waiting gangs for which workers are reserved in one round, in rank order.
+MAX_RESERVATIONS = 8
+MAX_RESERVED_FRACTION = 0.5  # Of the usable workers.
+# Added to the score of a reserved worker, so that tasks of higher rank use others while they can.
+RESERVED_PENALTY = 1.0
 
 logger = get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class PlannedStart:
-    """A unit to start now, with its workers by task position and its tickets by worker."""
-
-    unit: UnitRun
-    workers: dict[int, str]
-    tickets: dict[str, str]
-
-
-class PlanningRound:
-    """The capacity and workers that one planning round has allocated so far."""
-
-    def __init__(self, fleet: Fleet, *, now: float) -> None:
-        self.now = now
-        self.starts: list[PlannedStart] = []
-        self.advice_request_count = 0
-        self.set_aside: dict[str, StepRun] = {}  # Workers kept for a gang that does not fit yet.
-        self._fleet = fleet
-        self._free: dict[str, Amounts] = {}
-        self._pools: dict[str, dict[str, FleetWorker]] = {}
-
-    def get_usable(self, pool: str) -> dict[str, FleetWorker]:
-        """Return the usable workers of a pool by id."""
-        usable = self._pools.get(pool)
-        if usable is None:
-            usable = {
-                worker.id: worker
-                for worker in self._fleet
-                if worker.message.pool == pool and worker.is_usable(self.now)
-            }
-            self._pools[pool] = usable
-        return usable
-
-    def get_free(self, worker: FleetWorker) -> Amounts:
-        """Return the capacity of a worker that is still free in this round."""
-        return self._free.get(worker.id, worker.free)
-
-    def allocate(self, worker: FleetWorker, amounts: Amounts) -> None:
-        """Allocate capacity of a worker."""
-        self._free[worker.id] = self.get_free(worker) - amounts
-
-
 class JobPlanner:
     """Keeps the steps that wait for capacity and places them in rank order."""
 
@@ -81,7 +36,8 @@
         self._store = store
         self._timers = timers
         self._waiting: dict[StepKey, StepRun] = {}
-        self._set_aside_count = 0  # Workers set aside for a gang in the last round.
+        self._advice_planner = AdvicePlanner(advice)
+        self._reserved_before: frozenset[str] = frozenset()  # For gangs, in the last round.
 
     def add(self, run: JobRun) -> None:
         """Queue the waiting steps of a job."""
@@ -130,11 +86,16 @@
             "free_memory": round(sum(w.free.memory_mb for w in usable) / max(1, memory), 3),
             "waiting_steps": len(steps),
             "waiting_gangs": sum(step.message.gang for step in steps),
-            "reserved_workers": self._set_aside_count,
+            "reserved_workers": len(self._reserved_before),
         }
 
-    def plan(self, *, workers_reconciled: bool, early_ms: int) -> list[PlannedStart]:
-        """Return the units to start now."""
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether any step has units that wait for placement."""
+        return any(step.waiting for step in self._waiting.values())
+
+    def plan(self, *, workers_reconciled: bool, early_ms: int) -> JobPlan:
+        """Return the units to start now and the placements to stop for others."""
         now = self._timers.now()
         wall_ms = self._timers.wall_ms()
         round_ = PlanningRound(self._fleet, now=now)
@@ -146,8 +107,10 @@
                 self._place_gang(step, queue, round_)
             else:
                 self._place_tasks(step, queue, round_)
-        self._set_aside_count = len(round_.set_aside)
-        return round_.starts
+        self._reserved_before = frozenset().union(
+            *(reservation.workers for _, reservation in round_.reservations)
+        )
+        return JobPlan(starts=round_.starts, preempted=round_.preempted)
 
     def _list_ready(
         self, *, workers_reconciled: bool, latest_due_ms: int, now: float
@@ -176,74 +139,45 @@
             remaining_s=step.run.longest_paths_s[step.index],
         )
 
-    def _list_candidates(
+    def _list_approved(
         self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound
     ) -> list[FleetWorker]:
-        """Return the usable workers that may run a step; request advice if none is approved."""
+        """Return the usable workers that may run a step, whether their tickets are valid or not."""
         usable = round_.get_usable(queue.pool)
         if not queue.HasField("advisor"):
             return [worker for worker in usable.values() if step.accepts(worker.message.labels)]
-        tickets = self._advice.get(step.key).list_valid(round_.now)
-        approved = [usable[worker_id] for worker_id in tickets if worker_id in usable]
-        if not approved:
-            self._ask_advice(step, queue, round_)
-        return approved
-
-    def _ask_advice(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
-        """Request advice on further workers for a step."""
-        if not queue.HasField("advisor") or round_.advice_request_count >= MAX_ADVICE_REQUESTS:
-            return
+        tickets = self._advice.get(step.key).tickets
+        return [usable[worker_id] for worker_id in tickets if worker_id in usable]
+
+    def _select_admitted(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        workers: list[FleetWorker],
+        round_: PlanningRound,
+    ) -> list[FleetWorker]:
+        """Return the workers on which a step may start now."""
+        if not queue.HasField("advisor"):
+            return workers
         advice = self._advice.get(step.key)
-        if not advice.may_ask(round_.now):
-            return
-        worker_ids = self._choose_workers_to_ask(step, queue, advice, round_)
-        if not worker_ids:
-            return
-        round_.advice_request_count += 1
-        self._advice.ask(
-            AdviceRequest(
-                key=step.key,
-                workers=worker_ids,
-                expected_s=estimate_call_s(queue.advisor, len(worker_ids)),
-                rank=self._rank(step, round_.now),
-            )
-        )
-
-    def _choose_workers_to_ask(
-        self, step: StepRun, queue: jobs_pb2.Queue, advice: StepAdvice, round_: PlanningRound
-    ) -> list[str]:
-        """Return workers to ask about: none that were refused, most free capacity first."""
-        fits = {
-            worker.id: count_fitting(step.amounts, round_.get_free(worker))
-            for worker in round_.get_usable(queue.pool).values()
-            if worker.id not in advice.refused
-            and (step.message.gang or not advice.has_ticket(worker.id, round_.now))
-            and step.accepts(worker.message.labels)
-        }
-        return choose_advice_candidates(
-            fits,
-            approved_before=advice.tickets.keys(),
-            needed=step.message.count if step.message.gang else len(step.waiting),
-            may_include_full=not advice.list_valid(round_.now),
-            is_gang=step.message.gang,
-            decision_ms=queue.advisor.decision_ms,
-            per_worker_ms=queue.advisor.per_worker_ms,
-        )
+        return [worker for worker in workers if advice.has_ticket(worker.id, round_.now)]
 
     def _place_gang(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
-        candidates = self._list_candidates(step, queue, round_)
+        rank = self._rank(step, round_.now)
+        approved = self._list_approved(step, queue, round_)
         for unit in list(step.waiting.values()):
-            if unit.not_before > round_.now or not candidates:
+            if unit.not_before > round_.now:
                 continue
-            available = [w for w in candidates if round_.set_aside.get(w.id, step) is step]
+            available = [w for w in approved if round_.may_use(w.id, step)]
+            admitted = self._select_admitted(step, queue, available, round_)
             chosen = pack_gang(
                 step.amounts,
                 unit.unit.size,
-                [(worker.id, round_.get_free(worker)) for worker in available],
+                [(worker.id, round_.get_free(worker)) for worker in admitted],
                 limit_per_worker=step.message.max_per_worker,
             )
             if chosen is None:
-                self._set_aside_workers(step, unit, available, round_)
+                self._reserve(step, queue, unit, approved, round_, rank=rank)
                 continue
             positions = iter(unit.unit.positions)
             workers = {
@@ -252,30 +186,47 @@
                 for _ in range(count)
             }
             self._start(step, unit, workers, round_)
-
-    def _set_aside_workers(
-        self, step: StepRun, unit: UnitRun, available: list[FleetWorker], round_: PlanningRound
+        if step.waiting:
+            self._advice_planner.ask_for_gang(step, queue, round_, approved, rank=rank)
+
+    def _reserve(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        unit: UnitRun,
+        approved: list[FleetWorker],
+        round_: PlanningRound,
+        *,
+        rank: tuple[float, ...],
     ) -> None:
-        """Set aside the workers with most room for a gang that does not fit; one gang per round."""
-        if round_.set_aside:
+        """Reserve the workers on which a gang fits first, and keep their tickets valid."""
+        usable = len(round_.get_usable(queue.pool))
+        if len(round_.reservations) >= MAX_RESERVATIONS:
             return
-        ranked = sorted(
-            available,
-            key=lambda worker: -count_fitting(step.amounts, round_.get_free(worker)),
+        reservation = reserve_workers(
+            step.amounts,
+            unit.unit.size,
+            [round_.make_outlook(w) for w in approved if not round_.is_reserved(w.id)],
+            now=round_.now,
+            limit_per_worker=step.message.max_per_worker,
+        )
+        if reservation is None:
+            return
+        if round_.reserved_count + len(reservation.workers) > usable * MAX_RESERVED_FRACTION:
+            return
+        round_.reserve(step, reservation)
+        self._advice_planner.renew_for_gang(
+            step, queue, round_, reservation.workers, ready_at=reservation.ready_at, rank=rank
         )
-        remaining = unit.unit.size
-        chosen: list[str] = []
-        for worker in ranked:
-            if remaining <= 0:
-                break
-            remaining -= count_fitting(step.amounts, worker.capacity)
-            chosen.append(worker.id)
-        if remaining <= 0:
-            round_.set_aside.update(dict.fromkeys(chosen, step))
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
-        candidates = self._list_candidates(step, queue, round_)
-        candidates = [w for w in candidates if w.id not in round_.set_aside]
+        rank = self._rank(step, round_.now)
+        candidates = self._select_admitted(
+            step, queue, self._list_approved(step, queue, round_), round_
+        )
+        if not candidates:
+            self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
+        candidates = [w for w in candidates if round_.may_use(w.id, step)]
         limit = step.message.max_per_worker
         placed: dict[str, int] = {}
         if limit:
@@ -287,7 +238,8 @@
                 return None
             if limit and placed[worker.id] >= limit:
                 return None
-            return compute_max_free_fraction(step.amounts, free, worker.capacity)
+            penalty = RESERVED_PENALTY if worker.id in self._reserved_before else 0.0
+            return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
 
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
@@ -297,7 +249,7 @@
                 preferred = [w for w in candidates if w.id not in unit.avoided] or candidates
             worker = choose_worker(preferred, score=score)
             if worker is None:
-                self._ask_advice(step, queue, round_)
+                self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
                 return
             if limit:
                 placed[worker.id] += 1
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -0,0 +1,122 @@
+"""State of one planning round."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ..models.resources import NO_RESOURCES, Amounts
+from ..scheduling.gang_reservation import Release, Reservation, WorkerOutlook
+from .fleet import Fleet, FleetWorker, Placement, PlacementPhase
+from .runs import StepRun, UnitRun
+
+STOP_S = 0.9  # Longest time from a stop order to the end of the task.
+# A task past its expected end is expected to end within this fraction of its expected duration.
+OVERRUN_FRACTION = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedStart:
+    """A unit to start now, with its workers by task position and its tickets by worker."""
+
+    unit: UnitRun
+    workers: dict[int, str]
+    tickets: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class JobPlan:
+    """The decisions of one round: units to start, and placements to stop for others."""
+
+    starts: list[PlannedStart]
+    preempted: list[Placement]
+
+
+def estimate_end(placement: Placement, now: float) -> float:
+    """Return when a placement is expected to have ended."""
+    if placement.phase is PlacementPhase.STOPPING:
+        return now + STOP_S
+    expected_at = placement.placed_at + placement.estimate_s
+    if expected_at > now:
+        return expected_at
+    return now + placement.estimate_s * OVERRUN_FRACTION
+
+
+class PlanningRound:
+    """The capacity and workers that one planning round has allocated so far."""
+
+    def __init__(self, fleet: Fleet, *, now: float) -> None:
+        self.now = now
+        self.starts: list[PlannedStart] = []
+        self.preempted: list[Placement] = []
+        self.advice_request_count = 0
+        self.reservations: list[tuple[StepRun, Reservation]] = []
+        self._fleet = fleet
+        self._free: dict[str, Amounts] = {}
+        self._pools: dict[str, dict[str, FleetWorker]] = {}
+        self._largest: dict[str, Amounts] = {}
+        self._outlooks: dict[str, list[Release]] = {}
+        self._reserved: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
+
+    @property
+    def reserved_count(self) -> int:
+        """Return how many workers are reserved for gangs."""
+        return len(self._reserved)
+
+    def get_usable(self, pool: str) -> dict[str, FleetWorker]:
+        """Return the usable workers of a pool by id."""
+        usable = self._pools.get(pool)
+        if usable is None:
+            usable = {
+                worker.id: worker
+                for worker in self._fleet
+                if worker.message.pool == pool and worker.is_usable(self.now)
+            }
+            self._pools[pool] = usable
+        return usable
+
+    def get_largest_capacity(self, pool: str) -> Amounts:
+        """Return the largest amounts of any usable worker of a pool."""
+        largest = self._largest.get(pool)
+        if largest is None:
+            largest = NO_RESOURCES
+            for worker in self.get_usable(pool).values():
+                largest = largest.get_elementwise_max(worker.capacity)
+            self._largest[pool] = largest
+        return largest
+
+    def get_free(self, worker: FleetWorker) -> Amounts:
+        """Return the capacity of a worker that is still free in this round."""
+        return self._free.get(worker.id, worker.free)
+
+    def allocate(self, worker: FleetWorker, amounts: Amounts) -> None:
+        """Allocate capacity of a worker."""
+        self._free[worker.id] = self.get_free(worker) - amounts
+
+    def make_outlook(self, worker: FleetWorker) -> WorkerOutlook:
+        """Return the free capacity of a worker and when its tasks are expected to end."""
+        releases = self._outlooks.get(worker.id)
+        if releases is None:
+            releases = sorted(self._list_releases(worker), key=lambda release: release.at)
+            self._outlooks[worker.id] = releases
+        return WorkerOutlook(worker.id, self.get_free(worker), releases)
+
+    def _list_releases(self, worker: FleetWorker) -> Iterator[Release]:
+        for placement in worker.placements.values():
+            yield Release(estimate_end(placement, self.now), placement.amounts)
+
+    def reserve(self, step: StepRun, reservation: Reservation) -> None:
+        """Keep workers for a gang until it is expected to start."""
+        self.reservations.append((step, reservation))
+        for worker_id in reservation.workers:
+            self._reserved[worker_id] = (step, reservation.ready_at)
+
+    def is_reserved(self, worker_id: str) -> bool:
+        """Return whether a worker is reserved for a gang."""
+        return worker_id in self._reserved
+
+    def may_use(self, worker_id: str, step: StepRun) -> bool:
+        """Return whether a step may use a worker: if reserved, its tasks must end in time."""
+        entry = self._reserved.get(worker_id)
+        if entry is None:
+            return True
+        gang, ready_at = entry
+        return gang is step or self.now + step.estimate_s <= ready_at
