Log the load of the leader's event loop

Cause: the line on load told neither how busy the leader's process is nor how long rounds and stalls take, which is what binds at hundreds of machines. Change: load_report.py logs the share of processor time, the longest late wake-up of the event loop and the planning rounds (count, p50, p99) beside the waiting work, and keeps a histogram of rounds.

--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -19,6 +19,7 @@
 from .fleet import Fleet, FleetWorker, Placement, PlacementPhase
 from .gateway import OrderOutcome, WorkerGateway
 from .helper_registry import Helper
+from .load_report import LoadReport
 from .open_jobs import OpenJobs, make_ref
 from .orders import OrderSender
 from .planning import JobPlanner
@@ -35,7 +36,6 @@
 PLAN_PAUSE_FACTOR = 3.0
 IDLE_INTERVAL_S = 0.25  # Maximum time between two rounds while work waits, as tickets expire.
 EXPIRE_INTERVAL_S = 10.0
-REPORT_INTERVAL_S = 2.0
 
 logger = get_logger(__name__)
 
@@ -119,6 +119,9 @@
             wake_planner=self.wake_planner,
             remove_worker=self._sessions.remove_worker,
         )
+        self._load = LoadReport(
+            measure_work=self._planner.measure_load, timers=timers, metrics=metrics
+        )
         self._workers_reconciled = False
         self._group: TaskGroup | None = None
 
@@ -134,7 +137,7 @@
                 self._load_state()
                 group.start_soon(self._reporter.run)
                 group.start_soon(self._expire_jobs)
-                group.start_soon(self._report_load)
+                group.start_soon(self._load.run)
                 await self._plan_rounds()
         finally:
             self._group = None
@@ -250,6 +253,7 @@
                     self._start_unit(start)
                 self._advice.dispatch()
             took_s = self._timers.now() - began_at
+            self._load.record_round(took_s)
             await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s))
             await wait_for_event(self._timers, event=event, seconds=IDLE_INTERVAL_S)
 
@@ -354,9 +358,3 @@
             await self._timers.sleep(EXPIRE_INTERVAL_S)
             command = jobs_pb2.ExpireJobs(keep_ms=self._limits.keep_ended_ms)
             await self._replica.propose(cell_pb2.Command(expire_jobs=command))
-
-    async def _report_load(self) -> None:
-        """Log waiting work and free capacity at intervals."""
-        while True:
-            await self._timers.sleep(REPORT_INTERVAL_S)
-            logger.info("load", **self._planner.measure_load())
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/load_report.py
@@ -0,0 +1,72 @@
+"""Periodic log line on the load of the leader: waiting work, planning rounds and its event loop."""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
+from ..utils.timers import TimerService
+
+REPORT_INTERVAL_S = 2.0
+STALL_CHECK_INTERVAL_S = 0.1
+
+logger = get_logger(__name__)
+
+
+class LoadReport:
+    """Measures rounds, stalls of the event loop and processor use, and logs them at intervals."""
+
+    def __init__(
+        self,
+        *,
+        measure_work: Callable[[], Mapping[str, Any]],
+        timers: TimerService,
+        metrics: Metrics,
+    ) -> None:
+        self._measure_work = measure_work
+        self._timers = timers
+        self._metrics = metrics
+        self._rounds_s: list[float] = []
+        self._longest_stall_s = 0.0
+
+    def record_round(self, seconds: float) -> None:
+        """Record the duration of a planning round."""
+        self._rounds_s.append(seconds)
+        self._metrics.record("dewspindle_planning_seconds", seconds)
+
+    async def run(self) -> None:
+        """Log until cancelled."""
+        processor_s = time.process_time()
+        reported_at = self._timers.now()
+        while True:
+            await self._watch_stalls(reported_at + REPORT_INTERVAL_S)
+            now, used_s = self._timers.now(), time.process_time()
+            elapsed_s = max(now - reported_at, 0.001)
+            rounds = sorted(self._rounds_s)
+            logger.info(
+                "load",
+                processor_share=round((used_s - processor_s) / elapsed_s, 3),
+                longest_stall_ms=round(self._longest_stall_s * 1000, 1),
+                rounds=len(rounds),
+                round_p50_ms=_get_percentile_ms(rounds, 0.5),
+                round_p99_ms=_get_percentile_ms(rounds, 0.99),
+                **self._measure_work(),
+            )
+            processor_s, reported_at = used_s, now
+            self._rounds_s = []
+            self._longest_stall_s = 0.0
+
+    async def _watch_stalls(self, until: float) -> None:
+        """Wait until a time, and record by how much the event loop woke up late."""
+        while self._timers.now() < until:
+            slept_at = self._timers.now()
+            await self._timers.sleep(STALL_CHECK_INTERVAL_S)
+            late_s = self._timers.now() - slept_at - STALL_CHECK_INTERVAL_S
+            self._longest_stall_s = max(self._longest_stall_s, late_s)
+
+
+def _get_percentile_ms(ordered: list[float], fraction: float) -> float:
+    if not ordered:
+        return 0.0
+    return round(ordered[min(len(ordered) - 1, int(len(ordered) * fraction))] * 1000, 2)
