Score each candidate of a step once a round, and log the share of planning

Change: a step's candidates wait in a heap; the chosen one alone is scored anew. The line on load has planning_share in place of processor_share.

--- a/src/dewspindle/_internal/jobs/load_report.py
+++ b/src/dewspindle/_internal/jobs/load_report.py
@@ -1,6 +1,5 @@
 """Periodic log line on the load of the leader: waiting work, planning rounds and its event loop."""
 
-import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -15,7 +14,7 @@
 
 
 class LoadReport:
-    """Measures rounds, stalls of the event loop and processor use, and logs them at intervals."""
+    """Measures planning rounds and stalls of the event loop, and logs them at intervals."""
 
     def __init__(
         self,
@@ -37,23 +36,21 @@
 
     async def run(self) -> None:
         """Log until cancelled."""
-        processor_s = time.process_time()
         reported_at = self._timers.now()
         while True:
             await self._watch_stalls(reported_at + REPORT_INTERVAL_S)
-            now, used_s = self._timers.now(), time.process_time()
-            elapsed_s = max(now - reported_at, 0.001)
+            now = self._timers.now()
             rounds = sorted(self._rounds_s)
             logger.info(
                 "load",
-                processor_share=round((used_s - processor_s) / elapsed_s, 3),
+                planning_share=round(sum(rounds) / max(now - reported_at, 0.001), 3),
                 longest_stall_ms=round(self._longest_stall_s * 1000, 1),
                 rounds=len(rounds),
                 round_p50_ms=_get_percentile_ms(rounds, 0.5),
                 round_p99_ms=_get_percentile_ms(rounds, 0.99),
                 **self._measure_work(),
             )
-            processor_s, reported_at = used_s, now
+            reported_at = now
             self._rounds_s = []
             self._longest_stall_s = 0.0
 
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -6,7 +6,7 @@
 from ..cell.jobs import JobStore
 from ..scheduling.gang_reservation import reserve_workers
 from ..scheduling.job_order import compute_rank
-from ..scheduling.job_placement import choose_worker, compute_max_free_fraction, pack_gang
+from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
@@ -241,13 +241,11 @@
             penalty = RESERVED_PENALTY if worker.id in self._reserved_before else 0.0
             return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
 
+        queued = CandidateQueue(candidates, score=score)
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
                 continue
-            preferred = candidates
-            if unit.avoided:
-                preferred = [w for w in candidates if w.id not in unit.avoided] or candidates
-            worker = choose_worker(preferred, score=score)
+            worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
             if worker is None:
                 self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
                 return
--- a/src/dewspindle/_internal/scheduling/job_placement.py
+++ b/src/dewspindle/_internal/scheduling/job_placement.py
@@ -3,9 +3,10 @@
 In a nearly full fleet, best-fit placement keeps whole workers free for wide gangs of large tasks.
 """
 
+import heapq
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
-from typing import TypeVar
+from collections.abc import Callable, Collection, Iterable, Sequence
+from typing import Generic, TypeVar
 
 from ..models.resources import Amounts
 
@@ -62,12 +63,40 @@
     return members if remaining == 0 else None
 
 
-def choose_worker(candidates: Iterable[W], *, score: Callable[[W], float | None]) -> W | None:
-    """Return the candidate with the lowest score; a score of None excludes a candidate."""
-    best: W | None = None
-    best_score = float("inf")
-    for candidate in candidates:
-        value = score(candidate)
-        if value is not None and value < best_score:
-            best, best_score = candidate, value
-    return best
+class CandidateQueue(Generic[W]):
+    """Candidates for the tasks of one step by score; a score of None excludes a candidate.
+
+    A placement changes the score of the chosen candidate only, so no other is scored again.
+    """
+
+    def __init__(self, candidates: Iterable[W], *, score: Callable[[W], float | None]) -> None:
+        self._candidates = list(candidates)
+        self._score = score
+        self._heap: list[tuple[float, int]] = []
+        for number in range(len(self._candidates)):
+            self._push(number)
+        self._taken: int | None = None
+
+    def _push(self, number: int) -> None:
+        value = self._score(self._candidates[number])
+        if value is not None:
+            heapq.heappush(self._heap, (value, number))
+
+    def take(self, *, avoided: Collection[W] = ()) -> W | None:
+        """Return the candidate with the lowest score, one to avoid only if there are no others."""
+        if self._taken is not None:
+            self._push(self._taken)
+        passed = []
+        number = None
+        while self._heap:
+            entry = heapq.heappop(self._heap)
+            if self._candidates[entry[1]] not in avoided:
+                number = entry[1]
+                break
+            passed.append(entry)
+        if number is None and passed and len(avoided) == len(self._candidates):
+            number = passed.pop(0)[1]
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        self._taken = number
+        return None if number is None else self._candidates[number]
