Count tasks without an end as never leaving their worker

A long-running task could in turn take a reserved worker for good. Change: such tasks release nothing and use no reserved worker; a task without an estimate is expected to end in 0.2 s at the earliest. Tests: two scenarios of gangs.feature, which fail on the code before.

--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -37,6 +37,19 @@
       | 2       | may     | starts |
       | 4       | may not | waits  |
 
+  Scenario: A gang reserves no worker that tasks without an end fill
+    Given a planner of jobs over 4 workers of 32 cores, of which 2 are full for 3 seconds
+    And the tasks that fill them run until they are stopped
+    And a gang that needs all workers at once waits
+    When a task of 4 seconds and of lower priority arrives
+    Then it starts
+
+  Scenario: A task without an end may not run on a reserved worker
+    Given a planner of jobs over 4 workers of 32 cores, of which 2 are full for 3 seconds
+    And a gang that needs all workers at once waits
+    When a task of lower priority that runs until it is stopped arrives
+    Then it waits
+
   # Today's fleets are asked for nearly all that they have, in gangs that fill whole workers. Without
   # reservations and a choice of approved workers, narrow tasks take each part that becomes free.
   Scenario Outline: In a fleet that is asked for <percent> percent of its cores, gangs earn 0.7 of their worth
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -29,6 +29,7 @@
     context.requests = []
     context.model.advisor.ask = context.requests.append
     context.jobs = 0
+    context.is_lasting = False
     for worker in list(context.model.fleet)[:full]:
         worker.add(
             Placement(
@@ -61,6 +62,7 @@
         resources=resources_pb2.Resources(processors=processors),
         estimate_ms=int(estimate_s * 1000),
         gang=gang,
+        long_running=context.is_lasting,
     )
     context.jobs += 1
     message = jobs_pb2.Job(id=f"{context.jobs:016x}", queue=queue, spec=spec)
@@ -147,6 +149,19 @@
         assert not plan(context)
 
 
+@given("the tasks that fill them run until they are stopped")
+def given_lasting(context):
+    for worker in context.model.fleet:
+        for placement in worker.placements.values():
+            placement.is_lasting = True
+
+
+@when("a task of lower priority that runs until it is stopped arrives")
+def when_lasting_arrives(context):
+    context.is_lasting = True
+    when_task_arrives(context, 0)
+
+
 @when("a task of {seconds:d} seconds and of lower priority arrives")
 def when_task_arrives(context, seconds):
     context.task = submit(context, 1, processors=1000, estimate_s=seconds, gang=False, priority=2)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -306,6 +306,7 @@
                 phase=PlacementPhase.STARTING,
                 placed_at=now,
                 estimate_s=step.estimate_s,
+                is_lasting=step.message.long_running,
             )
             worker.add(placement)
             unit.placements[position] = placement
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -51,6 +51,7 @@
     # Lists requested after this time must name the task; infinite while an order is unanswered.
     must_be_listed_since: float = float("inf")
     estimate_s: float = 0.0
+    is_lasting: bool = False  # It runs until it is stopped.
     is_stop_ordered: bool = False
     idle_since: float | None = None  # Since when its worker reports almost no CPU usage.
 
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -1,5 +1,6 @@
 """State of one planning round."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 STOP_S = 0.9  # Longest time from a stop order to the end of the task.
 # A task past its expected end is expected to end within this fraction of its expected duration.
 OVERRUN_FRACTION = 0.25
+MIN_OVERRUN_S = 0.2  # Also for tasks without an estimate.
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,13 +25,15 @@
 
 
 def estimate_end(placement: Placement, now: float) -> float:
-    """Return when a placement is expected to have ended."""
+    """Return when a placement is expected to have ended, infinity if it never ends by itself."""
     if placement.phase is PlacementPhase.STOPPING:
         return now + STOP_S
+    if placement.is_lasting:
+        return math.inf
     expected_at = placement.placed_at + placement.estimate_s
     if expected_at > now:
         return expected_at
-    return now + placement.estimate_s * OVERRUN_FRACTION
+    return now + max(MIN_OVERRUN_S, placement.estimate_s * OVERRUN_FRACTION)
 
 
 class PlanningRound:
@@ -92,7 +96,9 @@
 
     def _list_releases(self, worker: FleetWorker) -> Iterator[Release]:
         for placement in worker.placements.values():
-            yield Release(estimate_end(placement, self.now), placement.amounts)
+            at = estimate_end(placement, self.now)
+            if at < math.inf:
+                yield Release(at, placement.amounts)
 
     def reserve(self, step: StepRun, reservation: Reservation) -> None:
         """Keep workers for a gang until it is expected to start."""
@@ -110,4 +116,6 @@
         if entry is None:
             return True
         gang, ready_at = entry
-        return gang is step or self.now + step.estimate_s <= ready_at
+        if gang is step:
+            return True
+        return not step.message.long_running and self.now + step.estimate_s <= ready_at
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -189,6 +189,7 @@
             placed_at=self._timers.now(),
             must_be_listed_since=self._timers.now(),
             estimate_s=unit.step.estimate_s if unit is not None else 0.0,
+            is_lasting=unit is not None and unit.step.message.long_running,
         )
         is_adopted = unit is not None and key is not None and self._can_adopt(unit, key, active)
         if key is not None and key not in worker.placements:
