Give a gang a choice of eight times the workers that it fills

In the model most waiting gangs have too few approved workers that no other gang has reserved, or wait for the last of few.

--- a/src/dewspindle/_internal/scheduling/job_advice.py
+++ b/src/dewspindle/_internal/scheduling/job_advice.py
@@ -14,7 +14,7 @@
 
 # Approved workers that a gang needs in all, as a multiple of those that it fills: only some of
 # them become free at the same time.
-GANG_CHOICE_FACTOR = 4.0
+GANG_CHOICE_FACTOR = 8.0
 PRIOR_LISTED = 20  # Weight of the odds assumed before any decision, in listed workers.
 PRIOR_ODDS = 0.4
 ODDS_MEMORY = 2000  # Listed workers after which older decisions count half.
