--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -15,18 +15,18 @@
     And its requests for advice are answered
     Then no more advice is requested for it
 
-  Scenario: A gang reserves the workers on which it fits first, and as few as hold it
+  Scenario: The workers on which a gang fits first are set aside, and as few as hold it
     Given workers that have room for tasks of the gang as follows
       | worker | now | after 1 s | after 3 s |
       | a      | 0   | 0         | 3         |
       | b      | 1   | 3         | 3         |
       | c      | 0   | 2         | 3         |
       | d      | 1   | 1         | 1         |
-    Then a gang of 5 reserves b and c for 1 second
-    And a gang of 8 reserves a, b and c for 3 seconds
-    And a gang of 11 reserves nothing
+    Then a gang of 5 has b and c set aside for 1 second
+    And a gang of 8 has a, b and c set aside for 3 seconds
+    And a gang of 11 has nothing set aside
 
-  Scenario Outline: A task of <seconds> seconds <may> run on a worker that is reserved for 3 seconds
+  Scenario Outline: A task of <seconds> seconds <may> run on a worker that is set aside for 3 seconds
     Given a planner of jobs over 4 workers of 32 cores, of which 2 are full for 3 seconds
     And a gang that needs all workers at once waits
     When a task of <seconds> seconds and of lower priority arrives
@@ -37,21 +37,21 @@
       | 2       | may     | starts |
       | 4       | may not | waits  |
 
-  Scenario: A gang reserves no worker that tasks without an end fill
+  Scenario: No worker is set aside that tasks without an end fill
     Given a planner of jobs over 4 workers of 32 cores, of which 2 are full for 3 seconds
     And the tasks that fill them run until they are stopped
     And a gang that needs all workers at once waits
     When a task of 4 seconds and of lower priority arrives
     Then it starts
 
-  Scenario: A task without an end may not run on a reserved worker
+  Scenario: A task without an end may not run on a worker set aside
     Given a planner of jobs over 4 workers of 32 cores, of which 2 are full for 3 seconds
     And a gang that needs all workers at once waits
     When a task of lower priority that runs until it is stopped arrives
     Then it waits
 
   # Today's fleets are asked for nearly all that they have, in gangs that fill whole workers. Without
-  # reservations and a choice of approved workers, narrow tasks take each part that becomes free.
+  # workers set aside and a choice of approved workers, narrow tasks take each part that becomes free.
   Scenario Outline: In a fleet that is asked for <percent> percent of its cores, gangs earn 0.7 of their worth
     When <percent> percent of the cores of 90 workers are asked for, with and without the rules for gangs
     Then gangs earn at least 0.7 with the rules, and 0.1 more than without
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -9,10 +9,10 @@
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.resources import Amounts
 from dewspindle._internal.scheduling import job_advice
-from dewspindle._internal.scheduling.gang_reservation import (
+from dewspindle._internal.scheduling.gang_workers import (
     Release,
     WorkerOutlook,
-    reserve_workers,
+    choose_earliest_workers,
 )
 from dewspindle._internal.schema import jobs_pb2, resources_pb2
 
@@ -129,22 +129,22 @@
         )
 
 
-@then("a gang of {size:d} reserves {names} for {seconds:d} second")
-@then("a gang of {size:d} reserves {names} for {seconds:d} seconds")
-def then_reserved(context, size, names, seconds):
-    reservation = reserve_workers(TASK, size, context.outlooks, now=0.0)
-    assert sorted(reservation.workers) == names.replace(" and ", ", ").split(", "), reservation
-    assert reservation.ready_at == seconds
+@then("a gang of {size:d} has {names} set aside for {seconds:d} second")
+@then("a gang of {size:d} has {names} set aside for {seconds:d} seconds")
+def then_set_aside(context, size, names, seconds):
+    chosen = choose_earliest_workers(TASK, size, context.outlooks, now=0.0)
+    assert sorted(chosen.workers) == names.replace(" and ", ", ").split(", "), chosen
+    assert chosen.ready_at == seconds
 
 
-@then("a gang of {size:d} reserves nothing")
-def then_unreserved(context, size):
-    assert reserve_workers(TASK, size, context.outlooks, now=0.0) is None
+@then("a gang of {size:d} has nothing set aside")
+def then_none_set_aside(context, size):
+    assert choose_earliest_workers(TASK, size, context.outlooks, now=0.0) is None
 
 
 @given("a gang that needs all workers at once waits")
 def given_gang_of_all(context):
-    with mock.patch.object(planning, "MAX_RESERVED_FRACTION", 1.0):
+    with mock.patch.object(planning, "MAX_SET_ASIDE_FRACTION", 1.0):
         submit(context, 4, processors=32_000, estimate_s=4, gang=True, priority=1)
         assert not plan(context)
 
@@ -165,7 +165,7 @@
 @when("a task of {seconds:d} seconds and of lower priority arrives")
 def when_task_arrives(context, seconds):
     context.task = submit(context, 1, processors=1000, estimate_s=seconds, gang=False, priority=2)
-    with mock.patch.object(planning, "MAX_RESERVED_FRACTION", 1.0):
+    with mock.patch.object(planning, "MAX_SET_ASIDE_FRACTION", 1.0):
         context.started = {start.unit.step.run.stored.id for start in plan(context)}
 
 
@@ -187,7 +187,7 @@
     options = {"workers": workers, "load": percent / USUAL_LOAD_PERCENT, "seconds": 15, "seed": 1}
     context.with_rules = play(**options)["worth_by_kind"]
     with (
-        mock.patch.object(planning, "MAX_RESERVATIONS", 0),
+        mock.patch.object(planning, "MAX_WAITING_GANGS", 0),
         mock.patch.object(job_advice, "GANG_CHOICE_FACTOR", 1.0),
     ):
         context.without = play(**options)["worth_by_kind"]
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -19,7 +19,7 @@
 # Requests in one round. Steps of lower rank wait for free capacity anyway, so their tickets are
 # not kept valid.
 MAX_REQUESTS_PER_ROUND = 12
-# Tickets of workers reserved for a gang are renewed this long before the call that renews them
+# Tickets of workers set aside for a gang are renewed this long before the call that renews them
 # would have to begin.
 RENEWAL_MARGIN_S = 0.3
 
@@ -103,7 +103,7 @@
         ready_at: float,
         rank: Rank,
     ) -> None:
-        """Renew the tickets of workers reserved for a gang that would end before its start."""
+        """Renew the tickets of workers set aside for a gang that would end before its start."""
         advice = self._client.get(step.key)
         if not self._may_ask(queue, advice, round_):
             return
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from ..cell.jobs import JobStore
-from ..scheduling.gang_reservation import reserve_workers
+from ..scheduling.gang_workers import choose_earliest_workers
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
 from ..schema import jobs_pb2
@@ -16,11 +16,11 @@
 from .planning_round import PlannedStart, PlanningRound
 from .runs import JobRun, StepRun, UnitRun
 
-# Waiting gangs for which workers are reserved in one round, in rank order.
-MAX_RESERVATIONS = 8
-MAX_RESERVED_FRACTION = 0.5  # Of the usable workers.
-# Added to the score of a reserved worker, so that tasks of higher rank use others while they can.
-RESERVED_PENALTY = 1.0
+# Waiting gangs that have workers set aside in one round, in rank order.
+MAX_WAITING_GANGS = 8
+MAX_SET_ASIDE_FRACTION = 0.5  # Of the usable workers.
+# Added to the score of a worker set aside, so that tasks of higher rank use others while they can.
+SET_ASIDE_PENALTY = 1.0
 
 logger = get_logger(__name__)
 
@@ -37,7 +37,7 @@
         self._timers = timers
         self._waiting: dict[StepKey, StepRun] = {}
         self._advice_planner = AdvicePlanner(advice)
-        self._reserved_before: frozenset[str] = frozenset()  # For gangs, in the last round.
+        self._set_aside_before: frozenset[str] = frozenset()  # For gangs, in the last round.
 
     def add(self, run: JobRun) -> None:
         """Queue the waiting steps of a job."""
@@ -86,7 +86,7 @@
             "free_memory": round(sum(w.free.memory_mb for w in usable) / max(1, memory), 3),
             "waiting_steps": len(steps),
             "waiting_gangs": sum(step.message.gang for step in steps),
-            "reserved_workers": len(self._reserved_before),
+            "reserved_workers": len(self._set_aside_before),
         }
 
     @property
@@ -107,8 +107,8 @@
                 self._place_gang(step, queue, round_)
             else:
                 self._place_tasks(step, queue, round_)
-        self._reserved_before = frozenset().union(
-            *(reservation.workers for _, reservation in round_.reservations)
+        self._set_aside_before = frozenset().union(
+            *(chosen.workers for _, chosen in round_.waiting_gangs)
         )
         return round_.starts
 
@@ -177,7 +177,7 @@
                 limit_per_worker=step.message.max_per_worker,
             )
             if chosen is None:
-                self._reserve(step, queue, unit, approved, round_, rank=rank)
+                self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
             positions = iter(unit.unit.positions)
             workers = {
@@ -189,7 +189,7 @@
         if step.waiting:
             self._advice_planner.ask_for_gang(step, queue, round_, approved, rank=rank)
 
-    def _reserve(
+    def _set_aside_for_gang(
         self,
         step: StepRun,
         queue: jobs_pb2.Queue,
@@ -199,24 +199,24 @@
         *,
         rank: tuple[float, ...],
     ) -> None:
-        """Reserve the workers on which a gang fits first, and keep their tickets valid."""
+        """Set aside the workers on which a gang fits first, and keep their tickets valid."""
         usable = len(round_.get_usable(queue.pool))
-        if len(round_.reservations) >= MAX_RESERVATIONS:
+        if len(round_.waiting_gangs) >= MAX_WAITING_GANGS:
             return
-        reservation = reserve_workers(
+        chosen = choose_earliest_workers(
             step.amounts,
             unit.unit.size,
-            [round_.make_outlook(w) for w in approved if not round_.is_reserved(w.id)],
+            [round_.make_outlook(w) for w in approved if not round_.is_set_aside(w.id)],
             now=round_.now,
             limit_per_worker=step.message.max_per_worker,
         )
-        if reservation is None:
+        if chosen is None:
             return
-        if round_.reserved_count + len(reservation.workers) > usable * MAX_RESERVED_FRACTION:
+        if round_.set_aside_count + len(chosen.workers) > usable * MAX_SET_ASIDE_FRACTION:
             return
-        round_.reserve(step, reservation)
+        round_.set_aside(step, chosen)
         self._advice_planner.renew_for_gang(
-            step, queue, round_, reservation.workers, ready_at=reservation.ready_at, rank=rank
+            step, queue, round_, chosen.workers, ready_at=chosen.ready_at, rank=rank
         )
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
@@ -238,7 +238,7 @@
                 return None
             if limit and placed[worker.id] >= limit:
                 return None
-            penalty = RESERVED_PENALTY if worker.id in self._reserved_before else 0.0
+            penalty = SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
             return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
 
         queued = CandidateQueue(candidates, score=score)
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..models.resources import NO_RESOURCES, Amounts
-from ..scheduling.gang_reservation import Release, Reservation, WorkerOutlook
+from ..scheduling.gang_workers import GangWorkers, Release, WorkerOutlook
 from .fleet import Fleet, FleetWorker, Placement, PlacementPhase
 from .runs import StepRun, UnitRun
 
@@ -43,18 +43,18 @@
         self.now = now
         self.starts: list[PlannedStart] = []
         self.advice_request_count = 0
-        self.reservations: list[tuple[StepRun, Reservation]] = []
+        self.waiting_gangs: list[tuple[StepRun, GangWorkers]] = []
         self._fleet = fleet
         self._free: dict[str, Amounts] = {}
         self._pools: dict[str, dict[str, FleetWorker]] = {}
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
-        self._reserved: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
+        self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
 
     @property
-    def reserved_count(self) -> int:
-        """Return how many workers are reserved for gangs."""
-        return len(self._reserved)
+    def set_aside_count(self) -> int:
+        """Return how many workers are set aside for gangs."""
+        return len(self._set_aside)
 
     def get_usable(self, pool: str) -> dict[str, FleetWorker]:
         """Return the usable workers of a pool by id."""
@@ -100,19 +100,19 @@
             if at < math.inf:
                 yield Release(at, placement.amounts)
 
-    def reserve(self, step: StepRun, reservation: Reservation) -> None:
+    def set_aside(self, step: StepRun, chosen: GangWorkers) -> None:
         """Keep workers for a gang until it is expected to start."""
-        self.reservations.append((step, reservation))
-        for worker_id in reservation.workers:
-            self._reserved[worker_id] = (step, reservation.ready_at)
+        self.waiting_gangs.append((step, chosen))
+        for worker_id in chosen.workers:
+            self._set_aside[worker_id] = (step, chosen.ready_at)
 
-    def is_reserved(self, worker_id: str) -> bool:
-        """Return whether a worker is reserved for a gang."""
-        return worker_id in self._reserved
+    def is_set_aside(self, worker_id: str) -> bool:
+        """Return whether a worker is set aside for a gang."""
+        return worker_id in self._set_aside
 
     def may_use(self, worker_id: str, step: StepRun) -> bool:
-        """Return whether a step may use a worker: if reserved, its tasks must end in time."""
-        entry = self._reserved.get(worker_id)
+        """Return whether a step may use a worker: if set aside, its tasks must end in time."""
+        entry = self._set_aside.get(worker_id)
         if entry is None:
             return True
         gang, ready_at = entry
--- a/src/dewspindle/_internal/scheduling/gang_reservation.py
+++ b/src/dewspindle/_internal/scheduling/gang_workers.py
@@ -1,4 +1,4 @@
-"""Reservation of workers for a gang that does not fit yet.
+"""Choice of the workers that are set aside for a gang that does not fit yet.
 
 Answers the load of a nearly full fleet in which small tasks take each free part of a worker before
 a wide gang finds enough of them. The gang keeps the workers on which its tasks are expected to fit
@@ -30,21 +30,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reservation:
+class GangWorkers:
     """Workers that a gang keeps, and when it is expected to fit on them."""
 
     workers: frozenset[str]
     ready_at: float
 
 
-def reserve_workers(
+def choose_earliest_workers(
     amounts: Amounts,
     size: int,
     outlooks: Sequence[WorkerOutlook],
     *,
     now: float,
     limit_per_worker: int = 0,
-) -> Reservation | None:
+) -> GangWorkers | None:
     """Return the workers on which a gang is expected to fit first, or None if it never does."""
     limit = limit_per_worker or size
     free = {outlook.worker: outlook.free for outlook in outlooks}
@@ -67,7 +67,7 @@
         ready_at = max(now, at)
     if total < size:
         return None
-    return Reservation(_choose_fewest(counts, size), ready_at)
+    return GangWorkers(_choose_fewest(counts, size), ready_at)
 
 
 def _choose_fewest(counts: dict[str, int], size: int) -> frozenset[str]:
