--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -20,7 +20,7 @@
 
 from dewspindle._internal.cell.jobs import JobStore, StoredJob
 from dewspindle._internal.jobs.advice import AdviceRequest, StepAdvice, StepKey
-from dewspindle._internal.jobs.fleet import Fleet, Placement, PlacementPhase
+from dewspindle._internal.jobs.fleet import Fleet, PlacementPhase
 from dewspindle._internal.jobs.planning import JobPlanner
 from dewspindle._internal.jobs.planning_round import PlannedStart
 from dewspindle._internal.jobs.runs import JobRun, UnitRun
@@ -303,17 +303,13 @@
         for position, name in start.workers.items():
             worker = self.fleet.get(name)
             assert worker is not None
-            placement = Placement(
-                key=(step.run.stored.id, position),
+            unit.place(
+                position,
+                worker,
                 attempt=attempt,
-                amounts=step.amounts,
-                worker=worker,
                 phase=PlacementPhase.RUNNING,
-                placed_at=self.timers.time,
-                estimate_s=step.estimate_s,
+                now=self.timers.time,
             )
-            worker.add(placement)
-            unit.placements[position] = placement
         speed = min(self.speeds[name] for name in start.workers.values())
         duration_s = job.run_s[step.index] / speed + ORDER_S
         self.after(duration_s, self._finish, unit, attempt)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -298,18 +298,9 @@
         for position, worker_id in start.workers.items():
             worker = self._fleet.get(worker_id)
             assert worker is not None
-            placement = Placement(
-                key=(step.run.stored.id, position),
-                attempt=attempt,
-                amounts=step.amounts,
-                worker=worker,
-                phase=PlacementPhase.STARTING,
-                placed_at=now,
-                estimate_s=step.estimate_s,
-                is_lasting=step.message.long_running,
+            placement = unit.place(
+                position, worker, attempt=attempt, phase=PlacementPhase.STARTING, now=now
             )
-            worker.add(placement)
-            unit.placements[position] = placement
             self._orders.start(
                 placement,
                 make_ref(placement.key, step.run.stored),
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -8,7 +8,7 @@
 from ..models.resources import Amounts, make_amounts
 from ..scheduling.job_order import LatencyTarget
 from ..schema import jobs_pb2
-from .fleet import Placement
+from .fleet import FleetWorker, Placement, PlacementPhase
 
 # Attempt numbers of a task in one term. Those that a lost leader used may be unknown, so no term
 # takes numbers of another one.
@@ -54,6 +54,30 @@
         """Return whether the unit still has to run and none of its tasks is placed."""
         return not self.placements and not self.is_done
 
+    def place(
+        self,
+        position: int,
+        worker: FleetWorker,
+        *,
+        attempt: int,
+        phase: PlacementPhase,
+        now: float,
+    ) -> Placement:
+        """Reserve a worker's capacity for an attempt of a task, and return its placement."""
+        placement = Placement(
+            key=(self.step.run.stored.id, position),
+            attempt=attempt,
+            amounts=self.step.amounts,
+            worker=worker,
+            phase=phase,
+            placed_at=now,
+            estimate_s=self.step.estimate_s,
+            is_lasting=self.step.message.long_running,
+        )
+        worker.add(placement)
+        self.placements[position] = placement
+        return placement
+
     def skip_attempts(self) -> None:
         """Pass over attempt numbers that a worker may have seen."""
         self.attempt += SUPERSEDED_ATTEMPT_SKIP
