Forget the ticket of a worker that the advisor approves no more

Cause, found by reading the diff: a renewal that comes back without a worker left its old ticket, so that it was set aside for the gang in vain and asked about in each round. Change: a refused worker loses its ticket. Test: a scenario of gangs.feature, which fails on the code before.

--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -15,6 +15,15 @@
     And its requests for advice are answered
     Then no more advice is requested for it
 
+  # The advisor's decisions should not change; if one does, no worker is kept for the gang in vain.
+  Scenario: A worker that the advisor approves no more is not set aside for a gang
+    Given a planner of jobs over 40 workers of 32 cores, of which 40 are full for 10 seconds
+    And an advisor whose requests may list 100 workers, of which it approves one in one
+    When a gang of 12 tasks of 10 cores waits
+    And its requests for advice are answered
+    And the advisor refuses the workers that were set aside for it
+    Then none of these workers is set aside for it
+
   Scenario: The workers on which a gang fits first are set aside, and as few as hold it
     Given workers that have room for tasks of the gang as follows
       | worker | now | after 1 s | after 3 s |
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -109,6 +109,22 @@
     context.requests.clear()
 
 
+@when("the advisor refuses the workers that were set aside for it")
+def when_refused(context):
+    plan(context)
+    context.refused = context.model.planner._set_aside_before
+    assert context.refused
+    for advice in context.model.advisor._steps.values():
+        advice.record_decision(context.refused, {}, expires_at=100.0)
+
+
+@then("none of these workers is set aside for it")
+def then_others_set_aside(context):
+    plan(context)
+    now = context.model.planner._set_aside_before
+    assert now and now.isdisjoint(context.refused), now & context.refused
+
+
 @then("no more advice is requested for it")
 def then_no_request(context):
     plan(context)
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -75,7 +75,11 @@
         """Store the advisor's decision on the workers of a request."""
         self.tickets.update(approved)
         self.expires_at.update(dict.fromkeys(approved, expires_at))
-        self.refused.update(worker for worker in workers if worker not in approved)
+        for worker in workers:
+            if worker not in approved:
+                self.refused.add(worker)
+                self.tickets.pop(worker, None)
+                self.expires_at.pop(worker, None)
 
     def drop_ticket(self, worker_id: str) -> None:
         """Mark a ticket that a worker rejected as not valid."""
