Blame a job that fails on several workers, not the workers

Load it answers: jobs that can never be done, alone or many at once. Cause: two failures in a row suspended a worker, whoever's they were. Ruled out: counting different jobs only. In a stream of hopeless and sound jobs it suspended five of six workers in the test's twelve seconds. A job that failed on two workers is at fault: its failures count against none, and a suspension that only they caused ends (worker cleared). Tests: hopeless jobs suspend no worker (fails on the code before); a worker that fails all it starts still causes at most six failed attempts.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -70,6 +70,13 @@
     When the cell runs for 30 seconds
     Then at most 6 task attempts failed
 
+  # Jobs that can never be done must not take sound workers away from the others.
+  Scenario: Jobs whose tasks always fail take no worker away from other jobs
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And jobs of 3 tasks that always fail, submitted over 10 seconds
+    When the cell runs for 12 seconds
+    Then no worker was ever suspended
+
   # A leader whose writes do not finish can commit nothing but could still renew its leader lease,
   # and so has to transfer leadership.
   Scenario: A job that is submitted after the leader's disk hangs succeeds within 6 seconds
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -25,8 +25,6 @@
 # A worker that answers again after unanswered calls is a sign that orders are delayed. Other
 # unanswered orders may then still arrive for as long as an order can take, `MAX_ORDER_DELAY_S`.
 LATE_ORDER_WINDOW_S = 12.0
-# Consecutive task failures that indicate a fault of the worker rather than of the tasks.
-FAILURES_BEFORE_SUSPENSION = 2
 
 
 class PlacementPhase(Enum):
@@ -78,7 +76,7 @@
     consecutive_unanswered_orders: int = 0
     missed_renewal: bool = False  # The last lease renewal was not answered.
     recovered_at: float = float("-inf")  # Last answer after an unanswered start or renewal.
-    consecutive_failures: int = 0
+    suspended_for_failures_until: float = float("-inf")
 
     def __post_init__(self) -> None:
         self.id = self.message.id
@@ -154,17 +152,20 @@
         self.suspended_until = now + suspension_s
         return suspension_s
 
-    def record_end(self, kind: jobs_pb2.EndKind.ValueType, now: float) -> bool:
-        """Update health from a task end; return whether it suspends the worker."""
-        if kind == jobs_pb2.END_DONE:
-            self.consecutive_failures = 0
-            self.consecutive_suspensions = 0
-        elif kind == jobs_pb2.END_FAILED:
-            self.consecutive_failures += 1
-            if self.consecutive_failures >= FAILURES_BEFORE_SUSPENSION:
-                self.suspend(now)
-                return True
-        return False
+    def suspend_for_failures(self, now: float) -> None:
+        """Suspend the worker because tasks failed there."""
+        self.suspend(now)
+        self.suspended_for_failures_until = self.suspended_until
+
+    def lift_suspension(self) -> bool:
+        """End a suspension that only failures caused; return whether there was one."""
+        if self.suspended_for_failures_until == float("-inf"):
+            return False
+        if self.suspended_until != self.suspended_for_failures_until:
+            return False
+        self.suspended_until = self.suspended_for_failures_until = float("-inf")
+        self.consecutive_suspensions = 0
+        return True
 
 
 class Fleet:
