Keep the cancellation of a call apart from the task that awaits it

A call of the RPC library that is awaited directly catches the cancellation of its task and raises one of its own. anyio does not know that one, so a time limit (append request: the election timeout) ended the whole task instead of raising TimeoutError, and the task group took this for a cancelled child: PeerLink.run ended without a log line, and the dead link stayed in the leadership. Requests that were cancelled because their channel closed (changed certificates) ended their tasks the same way, and a channel that closed before it was connected raised UsageError, which would have ended the process. Ruled out: keep-alive, reconnection and the address book; a trial without any of them (a server whose handler waits, a limit of 0.3 s) ends the task as well. Change: the call is awaited by a task of its own behind a shield. A closed channel is PeerUnreachableError, or PeerNotConnectedError before it was connected. The link logs 'replica reachable again' with the silence and the entries behind.

--- a/features/lib/known_faults.py
+++ b/features/lib/known_faults.py
@@ -42,6 +42,11 @@
     return fields
 
 
+def has_logged(event: str) -> bool:
+    """Return whether an event was logged during the scenario."""
+    return event in _logged_events
+
+
 def clear() -> None:
     """Forget the events of the previous scenario."""
     _logged_events.clear()
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -6,3 +6,26 @@
     Given a peer server with a handler that waits
     When a client cancels a request while its handler runs
     Then the handler of the cancelled request runs to its end
+
+  # The RPC library answers a cancellation with one of its own, which the task group takes for the end of the task.
+  Scenario: A task goes on after a time limit of its own on a request to a silent peer
+    Given a peer server with a handler that waits
+    When a task of a group sends requests with a time limit while the handler waits
+    Then each request ended with a timeout and the task went on
+
+  # Certificates that change while the instance runs close all channels.
+  Scenario: A closed channel fails its requests, not the tasks that sent them
+    Given a peer server with a handler that waits
+    When the client closes its channels while a task of a group waits for an answer
+    Then the task was told that the peer is unreachable
+
+  Scenario: A channel that closes before it is connected fails the request as not sent
+    Given a client of a peer that does not listen
+    When the client closes its channels while a request waits for its connection
+    Then the request failed as not sent
+
+  Scenario: The leader replicates again to a replica that was silent for longer than an election timeout
+    Given a replica that accepts entries over a real connection, and the leader's link to it
+    When the replica stops answering until the leader takes it for unreachable
+    And the replica answers again
+    Then the leader replicates to it again and logs that it is reachable
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -1,29 +1,50 @@
 import asyncio
+import random
 
+import anyio
 from behave import given, then, when
 
+from dewspindle._internal.cell.view import CellView
 from dewspindle._internal.network import methods
 from dewspindle._internal.network.peer_client import PeerClient
 from dewspindle._internal.network.peer_server import PeerServer
-from dewspindle._internal.schema import peers_pb2
+from dewspindle._internal.replication.peer_link import PeerLink
+from dewspindle._internal.replication.replica import load_context
+from dewspindle._internal.replication.transport import (
+    PeerNotConnectedError,
+    PeerUnreachableError,
+)
+from dewspindle._internal.schema import cell_pb2, peers_pb2
 from dewspindle._internal.settings.loading import load_settings
 from dewspindle._internal.utils.local_ports import reserve_address
+from dewspindle._internal.utils.timers import SystemTimerService
+from features.lib import known_faults
+from features.lib.disk import MemoryDisk
 
+REQUESTS = 3
+REQUEST_LIMIT_S = 0.05
 
-@given("a peer server with a handler that waits")
-def given_server(context):
-    context.address = reserve_address()
-    settings = load_settings(
+
+def make_settings(address, **flags):
+    """Return the settings of a replica with a peer address."""
+    return load_settings(
         {
             "instance_id": "a",
             "availability_zone": "z",
-            "peer_address": context.address,
-            "peers": f"a@{context.address}",
+            "peer_address": address,
+            "peers": f"a@{address}",
             "operator_token": "t",
+            **flags,
         },
         environment={},
     )
 
+
+@given("a peer server with a handler that waits")
+def given_server(context):
+    context.address = reserve_address()
+    settings = make_settings(context.address)
+
     async def start():
         context.started, context.released = asyncio.Event(), asyncio.Event()
         context.completed = asyncio.Event()
@@ -73,3 +94,173 @@
 @then("the handler of the cancelled request runs to its end")
 def then_completed(context):
     context.run(context.completed.wait())
+
+
+@when("a task of a group sends requests with a time limit while the handler waits")
+def when_limited(context):
+    context.outcomes = []
+
+    async def send_requests():
+        for _ in range(REQUESTS):
+            try:
+                with anyio.fail_after(REQUEST_LIMIT_S):
+                    await context.client.call(
+                        context.address, methods.HELLO, peers_pb2.HelloRequest(), timeout_s=60
+                    )
+            except TimeoutError:
+                context.outcomes.append("timeout")
+        context.outcomes.append("done")
+
+    context.run(run_in_group(send_requests))
+
+
+async def run_in_group(*tasks):
+    async with anyio.create_task_group() as group:
+        for task in tasks:
+            group.start_soon(task)
+
+
+@then("each request ended with a timeout and the task went on")
+def then_timed_out(context):
+    assert context.outcomes == ["timeout"] * REQUESTS + ["done"], context.outcomes
+
+
+@when("the client closes its channels while a task of a group waits for an answer")
+def when_closed(context):
+    context.outcomes = []
+
+    async def send_request():
+        try:
+            await context.client.call(
+                context.address, methods.HELLO, peers_pb2.HelloRequest(), timeout_s=60
+            )
+        except PeerUnreachableError:
+            context.outcomes.append("unreachable")
+
+    async def close():
+        await context.started.wait()
+        await context.client.close()
+
+    context.run(run_in_group(send_request, close))
+
+
+@then("the task was told that the peer is unreachable")
+def then_unreachable(context):
+    assert context.outcomes == ["unreachable"], context.outcomes
+
+
+@given("a client of a peer that does not listen")
+def given_absent(context):
+    context.address = reserve_address()
+    context.client = PeerClient(make_settings(context.address))
+
+
+@when("the client closes its channels while a request waits for its connection")
+def when_closed_early(context):
+    context.error = None
+
+    async def send_request():
+        try:
+            await context.client.call(
+                context.address, methods.HELLO, peers_pb2.HelloRequest(), timeout_s=60
+            )
+        except PeerNotConnectedError as error:
+            context.error = error
+
+    async def close():
+        await anyio.lowlevel.checkpoint()
+        await context.client.close()
+
+    context.run(run_in_group(send_request, close))
+
+
+@then("the request failed as not sent")
+def then_not_sent(context):
+    assert context.error is not None
+
+
+class SilencedReplica:
+    """A replica that accepts every entry, but answers nothing while it is silent."""
+
+    def __init__(self):
+        self.answers = anyio.Event()
+        self.answers.set()
+        self.answered = 0
+
+    async def handle_append(self, request):
+        await self.answers.wait()
+        self.answered += 1
+        return peers_pb2.AppendAnswer(
+            term=request.term,
+            matched=True,
+            last_index=request.previous_index + len(request.entries),
+        )
+
+
+@given("a replica that accepts entries over a real connection, and the leader's link to it")
+def given_link(context):
+    context.address = reserve_address()
+    settings = make_settings(
+        context.address,
+        data_dir=str(context.folder),
+        election_timeout_ms="100",
+        leader_lease_ms="80",
+        heartbeat_interval_ms="20",
+    )
+    timers = SystemTimerService()
+
+    async def start():
+        context.replica = SilencedReplica()
+        context.server, context.client = PeerServer(settings), PeerClient(settings)
+        context.server.register(methods.APPEND, context.replica.handle_append)
+        await context.server.start()
+        replica_context = load_context(
+            settings=settings,
+            timers=timers,
+            transport=context.client,
+            view=CellView(timers=timers, fence_after_s=1.0),
+            rng=random.Random(1),
+            disk=MemoryDisk(),
+        )
+        context.closers.append(replica_context.log.close)
+        peer = cell_pb2.Voter(replica_id="b", instance_id="b", address=context.address)
+        context.link = PeerLink(replica_context, peer=peer, term=1)
+        context.link_task = asyncio.ensure_future(run_in_group(context.link.run))
+
+    async def close():
+        context.link_task.cancel()
+        await asyncio.wait({context.link_task})
+        await context.client.close()
+        await context.server.stop()
+
+    context.run(start())
+    context.closers.append(lambda: context.run(close()))
+    context.run(wait_until(lambda: context.replica.answered > 1))
+
+
+async def wait_until(condition):
+    while not condition():
+        await anyio.lowlevel.checkpoint()
+
+
+@when("the replica stops answering until the leader takes it for unreachable")
+def when_silent(context):
+    context.replica.answers = anyio.Event()
+    context.run(
+        wait_until(
+            lambda: known_faults.has_logged("replica unreachable") or context.link_task.done()
+        )
+    )
+
+
+@when("the replica answers again")
+def when_answers(context):
+    context.confirmed_at = context.link.confirmed_at
+    context.replica.answers.set()
+
+
+@then("the leader replicates to it again and logs that it is reachable")
+def then_replicates(context):
+    assert not context.link_task.done(), "the link has ended"
+    context.run(wait_until(lambda: context.link.confirmed_at > context.confirmed_at))
+    assert known_faults.has_logged("replica reachable again")
--- a/src/dewspindle/_internal/network/peer_client.py
+++ b/src/dewspindle/_internal/network/peer_client.py
@@ -72,13 +72,13 @@
         """Send a request; raise `PeerUnreachableError` or `RefusedByPeerError`."""
         channel = await self._get_channel(address)
         await self._connect(channel, address, timeout_s=min(timeout_s, CONNECT_TIMEOUT_S))
-        call = channel.unary_unary(
+        multi_callable = channel.unary_unary(
             method.path,
             request_serializer=method.request.SerializeToString,
             response_deserializer=method.answer.FromString,
         )
         try:
-            return await call(request, timeout=timeout_s)  # type: ignore[no-any-return]
+            return await _wait_for_answer(multi_callable(request, timeout=timeout_s), address)
         except grpc.aio.AioRpcError as error:
             raise _translate_error(error, address) from None
 
@@ -90,6 +90,8 @@
             await asyncio.wait_for(channel.channel_ready(), timeout_s)
         except TimeoutError:
             raise PeerNotConnectedError(f"{address}: connection timed out") from None
+        except grpc.aio.UsageError:
+            raise PeerNotConnectedError(f"{address}: the channel was closed") from None
 
     async def _get_channel(self, address: str) -> grpc.aio.Channel:
         await self._reload_certificates()
@@ -166,6 +168,25 @@
             raise PeerUnreachableError(str(error)) from None
 
 
+async def _wait_for_answer(
+    call: grpc.aio.UnaryUnaryCall[RequestT, AnswerT], address: str
+) -> AnswerT:
+    """Return the answer to a call, and cancel the call together with this task.
+
+    A call that is awaited directly replaces the cancellation of its task by one that anyio does not
+    know as its own: a time limit then ends the whole task instead of raising `TimeoutError`. So the
+    call is awaited by a task of its own.
+    """
+    answer = asyncio.ensure_future(call)
+    try:
+        return await asyncio.shield(answer)
+    except asyncio.CancelledError:
+        if answer.cancelled():
+            raise PeerUnreachableError(f"{address}: the channel was closed") from None
+        call.cancel()
+        raise
+
+
 def _translate_error(error: grpc.aio.AioRpcError, address: str) -> Exception:
     code = _get_code(error)
     if code:
--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -68,6 +68,17 @@
             logger.warning("replica unreachable", peer=self._peer.instance_id, why=str(error))
         self._reachable = False
 
+    def _record_reachable(self) -> None:
+        if not self._reachable:
+            silent_s = self._context.timers.now() - self._confirmed_at
+            logger.info(
+                "replica reachable again",
+                peer=self._peer.instance_id,
+                silent_s=round(silent_s, 3) if self._confirmed_at > float("-inf") else None,
+                entries_behind=self._context.log.last_index - self._match_index,
+            )
+        self._reachable = True
+
     async def _exchange(self) -> bool:
         """Send one request; return whether the peer is known to lag behind."""
         log = self._context.log
@@ -147,6 +158,6 @@
         if term > self._term:
             await self._context.observe_term(term)
             return False
-        self._reachable = True
+        self._record_reachable()
         self._confirmed_at = max(self._confirmed_at, sent_at)
         return True
