--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -11,10 +11,11 @@
 
 from dewspindle._internal.exceptions import CorruptFileError, CorruptLogError, DiskFullError
 from dewspindle._internal.replication.disk import Disk
+from dewspindle._internal.replication.log import Log
 from dewspindle._internal.replication.log_store import LogStore
 from dewspindle._internal.replication.metadata import MetadataStore
 from dewspindle._internal.replication.snapshots import SnapshotStore, StoredSnapshot
-from dewspindle._internal.schema import peers_pb2
+from dewspindle._internal.schema import cell_pb2, peers_pb2
 from features.lib.disk import FaultyDisk
 from features.lib.replicas import ReplicaCell
 from features.steps.replication_steps import FAULTS, start_cell
@@ -115,6 +116,53 @@
     assert loaded == StoredSnapshot(index=5, term=1, data=b"state 5"), loaded
 
 
+async def call_directly(call, *args):
+    return call(*args)
+
+
+def open_log(context):
+    log = Log(
+        context.folder,
+        segment_bytes=500,
+        retained_entries=0,
+        disk=Disk(),
+        offload=call_directly,
+    )
+    log.load()
+    context.closers.append(log.close)
+    return log
+
+
+@given("a log that was replaced by a snapshot of {index:d} entries and got {count:d} more entries")
+def given_installed(context, index, count):
+    state = cell_pb2.CellSnapshot(revision=index, term=1)
+    snapshot = StoredSnapshot(index=index, term=1, data=state.SerializeToString())
+    context.added = make_entries(index + 1, count)
+
+    async def install():
+        log = open_log(context)
+        await log.install_snapshot(snapshot)
+        for entry in context.added:
+            log.add(entry)
+        await log.flush()
+
+    context.run(install())
+
+
+@when("the log is loaded again")
+def when_loaded(context):
+    context.log = open_log(context)
+
+
+@then("it holds exactly the {count:d} entries after the snapshot")
+def then_held(context, count):
+    log = context.log
+    first = log.snapshot_index + 1
+    assert log.get_entries(first, log.last_index, max_bytes=1 << 30) == context.added
+    assert log.get_term(log.snapshot_index) == 1
+    assert len(context.added) == count
+
+
 @given("a data folder with a replica identity file")
 def given_identity(context):
     store = MetadataStore(context.folder, disk=Disk())
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -26,6 +26,12 @@
     Then the older snapshot is loaded
 
   # The file also holds the term and the vote. A replica that started without them could vote twice in a term.
+  # Without that entry the replica can apply no later one, and its process ends at every start.
+  Scenario: A restart after a snapshot from the leader keeps the entry that follows the snapshot
+    Given a log that was replaced by a snapshot of 20 entries and got 3 more entries
+    When the log is loaded again
+    Then it holds exactly the 3 entries after the snapshot
+
   Scenario: A damaged replica identity file is refused
     Given a data folder with a replica identity file
     When the replica identity file is damaged
--- a/src/dewspindle/_internal/replication/log.py
+++ b/src/dewspindle/_internal/replication/log.py
@@ -136,9 +136,14 @@
 
     def _set_base(self, entries: list[peers_pb2.Entry]) -> None:
         snapshot = self._snapshot
+        if snapshot and (not entries or entries[0].index == snapshot.index + 1):
+            self._base_index = snapshot.index
+            self._base_term = snapshot.term
+            self._entries = entries
+            return
         if not entries or entries[0].index == 1:
-            self._base_index = snapshot.index if snapshot and not entries else 0
-            self._base_term = snapshot.term if snapshot and not entries else 0
+            self._base_index = 0
+            self._base_term = 0
             self._entries = entries
             return
         # The term before the first stored entry is unknown, so the base is that entry itself.
