Send no order and no renewal to a worker after the leader lease has lapsed

Cause: the leader lease was checked before a planning round, not before an order left. A leader that was paused past its lease renewed the leases of its workers as soon as it resumed, and sent starts that were planned before the pause. Fencing tokens stop this at workers that the next leader has reached; at one that only the old leader reaches, the renewed lease outlasts the wait of the successor, and a task could run twice. Change: starts, stops and renewals check the lease right before they are sent. A start that was not sent (not-sent) is released at once and its task waits again; it suspends no worker.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -93,6 +93,20 @@
     And a job is submitted and 6 seconds pass
     Then every accepted job succeeded
 
+  # A worker that the next leader cannot reach does not know its fencing token yet.
+  Scenario: A leader that was paused past its lease calls no worker when it resumes
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And jobs with dependent steps, a gang, checkpointing tasks and tasks that fail once
+    When the leader is paused for 3 seconds in the middle of its work
+    Then it called no worker after the pause
+    And every accepted job succeeded
+
+  Scenario: An order that was held up until the leader lease had lapsed is not sent, and its task waits again
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    When a job is planned just before the leader lease lapses for a moment
+    Then no start order left the leader during that moment
+    And the job succeeds within 5 seconds
+
   Scenario: A job that uses up the attempts allowed by its queue ends as failed
     Given a cell of 3 replicas whose leader sends orders to 6 workers
     And a job whose task fails 5 times
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -1,3 +1,5 @@
+from unittest import mock
+
 import anyio.lowlevel
 from behave import given, then, when
 
@@ -422,3 +424,90 @@
 @then("no worker was ever suspended")
 def then_none_suspended(context):
     assert not context.suspended, context.suspended
+
+
+@when("the leader is paused for {seconds:d} seconds in the middle of its work")
+def when_leader_paused(context, seconds):
+    cell = context.cell
+    calls = context.calls_after_pause = []
+
+    async def pause():
+        await cell.clock.advance(0.5)
+        paused = cell.leader
+        paused.timers.pause()
+        await cell.clock.advance(seconds)
+        record_calls(context, paused, calls)
+        paused.timers.resume()
+        await cell.clock.advance(5.0)
+
+    context.run(pause())
+
+
+def record_calls(context, node, calls):
+    """Record the names of the calls that a node begins to send to workers from now on."""
+    gateway = node.job_leader_services._gateway
+    for name in ("start", "stop", "renew_lease"):
+        original = getattr(gateway, name)
+
+        async def record(*args, name=name, original=original, **fields):
+            calls.append(name)
+            return await original(*args, **fields)
+
+        patch = mock.patch.object(gateway, name, record)
+        patch.start()
+        context.closers.append(patch.stop)
+
+
+@then("it called no worker after the pause")
+def then_not_called(context):
+    assert not context.calls_after_pause, context.calls_after_pause
+
+
+@when("a job is planned just before the leader lease lapses for a moment")
+def when_lapsed(context):
+    cell = context.cell
+    replica = cell.leader.replica
+    context.calls_while_lapsed = []
+    record_calls(context, cell.leader, context.calls_while_lapsed)
+    dispatcher = cell.leader.job_leader_services.dispatcher
+    plan = dispatcher._planner.plan
+
+    def plan_then_lapse(**fields):
+        starts = plan(**fields)
+        if starts and not context.lapse.is_started:
+            context.lapse.start()
+        return starts
+
+    context.lapse = LeaseLapse(type(replica))
+    with mock.patch.object(dispatcher._planner, "plan", plan_then_lapse):
+        submit_job(context, make_plan(make_step(1)))
+        context.run(cell.clock.advance(0.2))
+    context.starts_while_lapsed = context.calls_while_lapsed.count("start")
+    context.lapse.stop()
+
+
+class LeaseLapse:
+    """A moment in which no replica may act as the leader."""
+
+    def __init__(self, replica_class):
+        self._patch = mock.patch.object(replica_class, "may_act_as_leader", False)
+        self.is_started = False
+
+    def start(self):
+        self.is_started = True
+        self._patch.start()
+
+    def stop(self):
+        self._patch.stop()
+
+
+@then("no start order left the leader during that moment")
+def then_no_start(context):
+    assert context.lapse.is_started, "the job was not planned"
+    assert context.starts_while_lapsed == 0
+
+
+@then("the job succeeds within {seconds:d} seconds")
+def then_job_succeeds(context, seconds):
+    context.run(context.cell.clock.advance(seconds))
+    then_all_succeeded(context)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -106,6 +106,7 @@
             lease_s=limits.lease_s,
             wake_session=self._sessions.wake,
             renew_now=self._sessions.renew_now,
+            may_act=self._may_act,
             on_rejected=self._requeue_rejected,
         )
         self._events = TaskEvents(
@@ -115,6 +116,7 @@
             orders=self._orders,
             timers=timers,
             metrics=metrics,
+            may_act=self._may_act,
             may_adopt=lambda: not self._workers_reconciled,
             wake_planner=self.wake_planner,
             remove_worker=self._sessions.remove_worker,
@@ -125,6 +127,9 @@
         self._workers_reconciled = False
         self._group: TaskGroup | None = None
 
+    def _may_act(self) -> bool:
+        return self._replica.may_act_as_leader
+
     async def run(self) -> None:
         """Dispatch until cancelled."""
         self._view.state.subscribe(self)
@@ -244,7 +249,7 @@
         while True:
             event = self._wake.event
             began_at = self._timers.now()
-            if self._replica.may_act_as_leader:
+            if self._may_act():
                 self._check_reconciled()
                 starts = self._planner.plan(
                     workers_reconciled=self._workers_reconciled, early_ms=self._limits.early_ms
@@ -334,9 +339,9 @@
             self._advice.get(unit.step.key).drop_ticket(placement.worker.id)
         elif outcome is OrderOutcome.SUPERSEDED:
             unit.skip_attempts()
-        # A passed deadline is no sign of a fault of the worker. Every other outcome that is not
-        # handled above suspends it, including FENCED and INVALID.
-        elif outcome is not OrderOutcome.DEADLINE_PASSED:
+        # A passed deadline or an order not sent is no sign of a fault of the worker. Every other
+        # outcome that is not handled above suspends it, including FENCED and INVALID.
+        elif outcome not in (OrderOutcome.DEADLINE_PASSED, OrderOutcome.NOT_SENT):
             placement.worker.suspend(now)
         for other in list(unit.placements.values()):
             self._events.order_stop(other, "another member of the gang was rejected")
--- a/src/dewspindle/_internal/jobs/gateway.py
+++ b/src/dewspindle/_internal/jobs/gateway.py
@@ -21,7 +21,7 @@
 
 
 class OrderOutcome(Enum):
-    """A worker's answer to an order."""
+    """A worker's answer to an order, or why it was not sent."""
 
     ACCEPTED = "accepted"
     FENCED = "fenced"  # The worker has seen a higher fencing token.
@@ -32,6 +32,7 @@
     TICKET_INVALID = "ticket-invalid"
     UNHEALTHY = "unhealthy"  # The worker reports a fault or overload; the order had no effect.
     INVALID = "invalid"
+    NOT_SENT = "not-sent"  # This replica may not act as the leader any more.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -21,7 +21,7 @@
 )
 
 ORDER_TIMEOUT_S = 0.5  # A healthy worker answers within milliseconds.
-STOP_RETRY_DELAY_S = 0.3
+STOP_RETRY_DELAY_S = 0.3  # Also while the leader lease has lapsed.
 
 logger = get_logger(__name__)
 
@@ -40,6 +40,7 @@
         lease_s: float,
         wake_session: Callable[[str], None],
         renew_now: Callable[[str], None],
+        may_act: Callable[[], bool],
         on_rejected: Callable[[Placement, OrderOutcome], None],
     ) -> None:
         self._gateway = gateway
@@ -50,6 +51,7 @@
         self._lease_s = lease_s
         self._wake_session = wake_session
         self._renew_now = renew_now
+        self._may_act = may_act  # Whether this replica may act as the leader.
         self._on_rejected = on_rejected
         self._group: TaskGroup | None = None
 
@@ -80,6 +82,10 @@
 
     async def _send_start(self, placement: Placement, order: StartOrder) -> None:
         worker = placement.worker
+        # The process may have been paused since the start was planned.
+        if not self._may_act():
+            self._handle_rejected(placement, OrderOutcome.NOT_SENT)
+            return
         try:
             answer = await self._gateway.start(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
         except WorkerReplacedError:
@@ -147,6 +153,9 @@
     async def _send_stop(self, placement: Placement, order: StopOrder) -> None:
         worker = placement.worker
         while placement.phase is not PlacementPhase.ENDED and self._fleet.get(worker.id) is worker:
+            if not self._may_act():
+                await self._timers.sleep(STOP_RETRY_DELAY_S)
+                continue
             try:
                 answer = await self._gateway.stop(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
             except WorkerReplacedError:
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -30,6 +30,7 @@
 # Consecutive lease renewals, rejected or unanswered; a single one may be lost in the network.
 FAILED_BEFORE_UNREACHABLE = 2
 RETRY_DELAY_S = 0.4
+LAPSED_CHECK_S = 0.05  # Between checks whether this replica may act as the leader again.
 MAX_RETRY_DELAY_S = 2.0  # Between lease renewals to a worker that does not answer.
 # A worker that has left is assumed to have ended its tasks this long after the session notices it.
 LEAVE_GRACE_S = 0.5
@@ -62,6 +63,9 @@
     def may_orders_arrive_late(self) -> bool:
         """Return whether unanswered orders may still reach a worker late."""
 
+    def may_act(self) -> bool:
+        """Return whether this replica may act as the leader."""
+
     def make_lost_end(self, placement: Placement) -> jobs_pb2.TaskEnd:
         """Return the end of a task that was lost with its worker."""
 
@@ -125,6 +129,10 @@
             if not self._needs_renewal():
                 await wait_for_event(self._timers, event=event, seconds=IDLE_CHECK_S)
                 continue
+            # A lease renewed by a former leader might outlast the wait of its successor.
+            if not self._owner.may_act():
+                await self._timers.sleep(LAPSED_CHECK_S)
+                continue
             try:
                 await self._send_renewal()
             except WorkerReplacedError:
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -45,6 +45,7 @@
         orders: OrderSender,
         timers: TimerService,
         metrics: Metrics,
+        may_act: Callable[[], bool],
         may_adopt: Callable[[], bool],
         wake_planner: Callable[[], None],
         remove_worker: Callable[[FleetWorker], Awaitable[None]],
@@ -55,6 +56,7 @@
         self._orders = orders
         self._timers = timers
         self._metrics = metrics
+        self._may_act = may_act
         self._may_adopt = may_adopt
         self._wake_planner = wake_planner
         self._remove_worker = remove_worker
@@ -129,6 +131,10 @@
             if unit is not None:
                 unit.avoided.add(placement.worker.id)
 
+    def may_act(self) -> bool:
+        """Return whether this replica may act as the leader."""
+        return self._may_act()
+
     def make_lost_end(self, placement: Placement) -> jobs_pb2.TaskEnd:
         """Return the end of a task that was lost with its worker."""
         unit = self._jobs.find_unit(placement.key)
