Query each replica at its own pace while an entry instance looks for the leader

Cause: a search queried all replicas at once and waited for the slowest. With one replica without power it took 0.4 s and 0.1 s of pause, so that a new leader was known up to half a second late, and a leader suspected by a request was first queried alone for another 0.4 s. Change: a search queries each replica every 0.1 s until one leads, a suspected one included, and queries replicas that become known meanwhile.

--- a/src/dewspindle/_internal/network/leader_tracker.py
+++ b/src/dewspindle/_internal/network/leader_tracker.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..exceptions import DewspindleError
 from ..replication.address_book import AddressBook
@@ -14,7 +15,7 @@
 from .leader_client import RpcClient
 
 CHECK_INTERVAL_S = 1.0  # Between checks of a known leader.
-SEARCH_INTERVAL_S = 0.1  # Between searches while no leader is known.
+SEARCH_INTERVAL_S = 0.1  # Between queries of one replica while no leader is known.
 HELLO_TIMEOUT_S = 0.4
 # Age of the last answer up to which the leader counts as reachable and an entry instance as ready.
 LEADER_ALIVE_S = 3.0
@@ -43,6 +44,7 @@
         self._leader_address = ""
         self._answered_at = float("-inf")
         self._suspected = Signal()
+        self._searched: set[str] = set()  # Replicas that the current search queries.
 
     @property
     def leader_address(self) -> str:
@@ -68,23 +70,45 @@
         """Track the leader until cancelled."""
         while True:
             suspected = self._suspected.event
-            if self._leader_address and await self._query(self._leader_address):
-                await wait_for_event(self._timers, event=suspected, seconds=CHECK_INTERVAL_S)
-                continue
-            await self._search()
             if not self._leader_address:
-                await self._timers.sleep(SEARCH_INTERVAL_S)
+                await self._search()
+            elif not await self._query(self._leader_address):
+                logger.warning("leader lost", address=self._leader_address)
+                await self._search()
+            elif await wait_for_event(self._timers, event=suspected, seconds=CHECK_INTERVAL_S):
+                # The search also queries the suspected leader, as another may lead already.
+                logger.info("leader suspected", address=self._leader_address)
+                await self._search()
 
     async def _search(self) -> None:
-        """Query all known replicas concurrently."""
-        previous, self._leader_address = self._leader_address, ""
-        if previous:
-            logger.warning("leader lost", address=previous)
-        addresses = self._address_book.other_replica_addresses
-        self._rng.shuffle(addresses)
+        """Query all known replicas until one of them leads.
+
+        Each is queried at its own pace, so that one that does not answer delays none of the others.
+        """
+        self._leader_address = ""
+        self._searched = set()
         async with anyio.create_task_group() as group:
-            for address in addresses:
-                group.start_soon(self._query, address)
+            while not self._leader_address:
+                found = self._signal.event
+                self._start_queries(group)
+                await wait_for_event(self._timers, event=found, seconds=SEARCH_INTERVAL_S)
+            group.cancel_scope.cancel()
+
+    def _start_queries(self, group: TaskGroup) -> None:
+        """Begin to query the replicas that became known during the search."""
+        addresses = [
+            address
+            for address in self._address_book.other_replica_addresses
+            if address not in self._searched
+        ]
+        self._rng.shuffle(addresses)
+        self._searched.update(addresses)
+        for address in addresses:
+            group.start_soon(self._query_repeatedly, address)
+
+    async def _query_repeatedly(self, address: str) -> None:
+        while not await self._query(address):
+            await self._timers.sleep(SEARCH_INTERVAL_S)
 
     async def _query(self, address: str) -> bool:
         """Query one replica; return whether it is the leader."""
