Accept callers' connections while an entry instance is being imported

Change: the launcher listens on the callers' address before it imports the program, so that their connections wait for the server. Invalid settings are still reported by the program itself. Test: two scenarios in platform.feature; the first one cannot connect on the code before.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -11,6 +11,9 @@
     # process during imports, and no settings have been read yet that could be reloaded.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "src"))
+    from dewspindle._internal.platform.early_listener import listen_for_callers
+
+    listen_for_callers()
     from dewspindle._internal.platform.programs import main
 
     return main(sys.argv[1:])
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -96,3 +96,15 @@
   Scenario: SIGHUP is ignored while the launcher imports the program
     When the launcher runs until it imports the program
     Then SIGHUP is ignored
+
+  # Callers try few times in a row. After a power loss they would use up their tries on refused connections.
+  Scenario: A caller that connects while the launcher imports the program is answered by the server
+    Given a settings file that names an address for callers
+    When the launcher runs until it imports the program
+    And a caller sends a request before a server exists
+    Then a server on that address answers the request
+
+  Scenario: Settings that cannot be read are left to the program to report
+    Given a settings file that cannot be read
+    When the launcher runs until it imports the program
+    Then SIGHUP is ignored
--- a/features/steps/live_cell_steps.py
+++ b/features/steps/live_cell_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
-from dewspindle._internal.http.server import bind
 from dewspindle._internal.replication.disk import Disk
+from dewspindle._internal.utils.listeners import bind
 from dewspindle._internal.utils.local_ports import reserve_address
 from features.steps.call_steps import start_live_cell
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,12 +4,14 @@
 import random
 import runpy
 import signal
+import socket
 from unittest import mock
 
 import anyio.lowlevel
 from behave import given, then, when
 
 from dewspindle._internal.exceptions import DewspindleError, InvalidSettingError
+from dewspindle._internal.http.server import HttpServer
 from dewspindle._internal.jobs.gateway import (
     NoDefiniteAnswerError,
     OrderOutcome,
@@ -28,7 +30,7 @@
 from dewspindle._internal.platform.heartbeats import decode_heartbeat
 from dewspindle._internal.platform.job_bodies import decode_job
 from dewspindle._internal.platform.queue_table import decode_queue_table
-from dewspindle._internal.platform.settings_file import decode_platform_settings
+from dewspindle._internal.platform.settings_file import FILE_VARIABLE, decode_platform_settings
 from dewspindle._internal.platform.worker_client import WorkerClient
 from dewspindle._internal.utils.local_ports import reserve_address
 from dewspindle._internal.utils.metrics import Metrics
@@ -409,6 +411,58 @@
         runpy.run_path("deploy/start.py", run_name="loaded")["start"]()
 
 
+def name_settings_file(context, path):
+    variable = mock.patch.dict("os.environ", {FILE_VARIABLE: str(path)})
+    variable.start()
+    context.closers.append(variable.stop)
+
+
+@given("a settings file that names an address for callers")
+def given_caller_address(context):
+    context.address = reserve_address()
+    path = context.folder / "settings"
+    fields = {
+        "node_name": "edge-1",
+        "zone": "z",
+        "ip": "127.0.0.1",
+        "internal_ports": "7000,7001",
+        "bind_addrs.client_addr": context.address,
+    }
+    path.write_text("".join(f"{name}={value}\n" for name, value in fields.items()))
+    name_settings_file(context, path)
+
+
+@given("a settings file that cannot be read")
+def given_unreadable(context):
+    name_settings_file(context, context.folder / "absent")
+
+
+@when("a caller sends a request before a server exists")
+def when_sent_early(context):
+    host, _, port = context.address.partition(":")
+    context.caller = socket.create_connection((host, int(port)))
+    context.closers.append(context.caller.close)
+    context.caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+
+
+@then("a server on that address answers the request")
+def then_answered_early(context):
+    async def app(scope, receive, send):
+        await send({"type": "http.response.start", "status": 204, "headers": []})
+        await send({"type": "http.response.body", "body": b""})
+
+    async def serve():
+        server = HttpServer(app, address=context.address)
+        context.caller.setblocking(False)
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            answer = await asyncio.get_running_loop().sock_recv(context.caller, 100)
+            server.stop()
+        return answer
+
+    assert b" 204 " in context.run(serve())
+
+
 @then("SIGHUP is ignored")
 def then_ignored(context):
     assert signal.getsignal(signal.SIGHUP) == signal.SIG_IGN
--- a/src/dewspindle/_internal/http/server.py
+++ b/src/dewspindle/_internal/http/server.py
@@ -1,17 +1,14 @@
 """HTTP servers."""
 
 import contextlib
-import socket
 from collections.abc import Iterator
 from typing import Any
 
 import anyio
 import uvicorn
 
-from ..exceptions import InvalidSettingError
-from ..utils.addresses import parse_address
+from ..utils.listeners import BACKLOG, bind
 
-BACKLOG = 2048
 KEEPALIVE_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 5
 
@@ -25,25 +22,6 @@
         yield
 
 
-def bind(address_text: str) -> socket.socket:
-    """Return a bound socket; raise `InvalidSettingError` if the address is unavailable."""
-    address = parse_address(address_text)
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    # asyncio sets TCP_NODELAY on accepted sockets only if the protocol is IPPROTO_TCP.
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listener.bind((address.host, address.port))
-    except OSError as error:
-        listener.close()
-        raise InvalidSettingError(
-            f"cannot listen on {address}: {error.strerror}",
-            hint="choose a local address that no other process uses",
-        ) from None
-    listener.setblocking(False)
-    return listener
-
-
 class HttpServer:
     """Serves one application on one address."""
 
