Elect a leader at once after every voter has restarted

Cause: a restarted replica withholds its vote until the lease of the last leader would be over, as it may have confirmed that leader just before. Change: a replica that restarted asks the other voters, and once each has answered that it has restarted and heard from no leader since, or runs with another replica id, the one with the longest log stands at once. A voter grants this vote only while it awaits a leader itself. Answers count only for queries of the same process. Reconnections are tried every 0.2 s at most (0.5). Ruled out: shorter timeouts, which would weaken the lease; a quorum of restarted voters, as the silent ones may hold it. Test: an early leader after all were killed, also with an emptied folder; a voter that heard from a leader refuses; ten random histories of kills, cuts and restarts of five replicas under the check that at most one leads at any time. The scenario that restarted replicas withhold their votes now restarts the followers only, with the leader alive and cut off: where all restart, a leader is elected meanwhile, so its old form could not hold.

--- a/features/replication_faults.feature
+++ b/features/replication_faults.feature
@@ -149,7 +149,43 @@
 
   # A restarted replica does not know when it last answered the leader, which may act until its lease expires.
   # With a vote before that, two leaders could act at the same time.
-  Scenario: Restarted replicas withhold their votes until the lease of the last leader has expired
+  Scenario: Restarted replicas withhold their votes until the lease of a leader out of reach has expired
+    Given a cell of 3 replicas with a leader and 5 changes
+    When the followers are killed and restarted while the leader is cut off
+    Then when the leader lease ends both withhold votes, and a tenth of it later neither does
+
+  # Its lease has ended with its process, so nothing is gained by waiting until it would have expired.
+  Scenario: Replicas that have all restarted elect a leader without waiting for the last lease
     Given a cell of 3 replicas with a leader and 5 changes
     When all replicas are killed and restarted
-    Then when the leader lease ends all replicas withhold votes, and a tenth of it later none does
+    Then a leader has committed an entry of its term before half of the last lease is over
+    And after recovery no acknowledged change is lost, applied twice or rolled back
+
+  Scenario: Replicas that have restarted do not wait for a voter whose data folder was lost with its process
+    Given a cell of 3 replicas with a leader and 5 changes
+    When all replicas are killed and one follower restarts with an empty data folder
+    Then a leader has committed an entry of its term before half of the last lease is over
+
+  Scenario: A voter that has heard from a leader since its restart grants no early vote
+    Given a cell of 3 replicas with a leader and 5 changes
+    When a follower is killed and restarted and hears from the leader
+    Then it refuses a vote for which the candidate says that all voters have restarted
+
+  # Leaders are killed and cut off at random moments around restarts of all others.
+  Scenario Outline: At no time do two replicas lead while replicas restart at random, seed <seed>
+    Given a cell of 5 replicas with a leader and 5 changes
+    When replicas are killed, cut off and restarted at random for 6 seconds, seed <seed>
+    Then after recovery no acknowledged change is lost, applied twice or rolled back
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
+      | 9    |
+      | 10   |
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -323,9 +323,6 @@
     context.run(resend())
 
 
-__all__ = ["peers_pb2"]
-
-
 @when("all replicas are killed and restarted")
 def when_all_restart(context):
     async def restart():
@@ -338,15 +335,124 @@
     context.run(restart())
 
 
-@then("when the leader lease ends all replicas withhold votes, and a tenth of it later none does")
+@when("the followers are killed and restarted while the leader is cut off")
+def when_followers_restart(context):
+    cell = context.cell
+
+    async def restart():
+        leader = cell.leader
+        cell.network.isolate(leader.address, [a for a in cell.addresses if a != leader.address])
+        context.restarted = [node for node in cell.nodes if node is not leader]
+        for node in context.restarted:
+            node.kill()
+        await cell.clock.settle()
+        for node in context.restarted:
+            node.start()
+
+    context.run(restart())
+
+
+@then("when the leader lease ends both withhold votes, and a tenth of it later neither does")
 def then_votes_after_lease(context):
-    nodes = context.cell.nodes
-    lease_s = nodes[0].replica.context.settings.leader_lease_ms / 1000
+    lease_s = get_lease_s(context.cell)
+    request = peers_pb2.VoteRequest(all_restarted=False)
 
     def list_withheld_votes():
-        return [node.replica.handlers._withholds_votes() for node in nodes]
+        return [node.replica.handlers._withholds_votes(request) for node in context.restarted]
 
     context.run(context.cell.clock.advance(lease_s))
     assert all(list_withheld_votes())
     context.run(context.cell.clock.advance(0.1 * lease_s))
     assert not any(list_withheld_votes())
+
+
+def get_lease_s(cell):
+    return cell.nodes[0].replica.context.settings.leader_lease_ms / 1000
+
+
+@when("all replicas are killed and one follower restarts with an empty data folder")
+def when_one_emptied(context):
+    cell = context.cell
+
+    async def restart():
+        emptied = next(node for node in cell.nodes if not node.is_leader)
+        for node in cell.nodes:
+            node.kill()
+        await cell.clock.settle()
+        emptied.wipe()
+        for node in cell.nodes:
+            node.start()
+
+    context.run(restart())
+
+
+@then("a leader has committed an entry of its term before half of the last lease is over")
+def then_leads_early(context):
+    cell = context.cell
+    assert context.run(
+        cell.clock.advance_until(lambda: cell.leader is not None, seconds=get_lease_s(cell) / 2)
+    ), cell.describe()
+
+
+@when("a follower is killed and restarted and hears from the leader")
+def when_heard(context):
+    cell = context.cell
+
+    async def restart():
+        context.follower = next(node for node in cell.nodes if not node.is_leader)
+        context.follower.kill()
+        await cell.clock.settle()
+        context.follower.start()
+        await cell.clock.advance(get_lease_s(cell) / 2)
+
+    context.run(restart())
+
+
+@then("it refuses a vote for which the candidate says that all voters have restarted")
+def then_refused(context):
+    replica = context.follower.replica.context
+    request = peers_pb2.VoteRequest(
+        cell_id=replica.membership.cell_id,
+        term=replica.term + 1,
+        candidate="another",
+        last_index=replica.log.last_index,
+        last_term=replica.log.last_term,
+        target=replica.replica_id,
+        all_restarted=True,
+    )
+    answer = context.run(context.follower.replica.handlers.handle_vote(request))
+    assert not answer.granted
+    assert replica.term == request.term - 1
+
+
+@when("replicas are killed, cut off and restarted at random for {seconds:d} seconds, seed {seed:d}")
+def when_random_restarts(context, seconds, seed):
+    cell, rng = context.cell, random.Random(seed)
+
+    async def disturb_once():
+        action = rng.choice(["kill", "kill-most", "start", "start-all", "isolate", "heal"])
+        if action in ("start", "start-all"):
+            down = [node for node in cell.nodes if not node.is_up]
+            for node in down if action == "start-all" else down[:1]:
+                node.start()
+        elif action == "heal":
+            cell.network.heal()
+        elif action == "isolate":
+            node = rng.choice(cell.nodes)
+            cell.network.isolate(node.address, [a for a in cell.addresses if a != node.address])
+        else:
+            up = [node for node in cell.nodes if node.is_up]
+            rng.shuffle(up)
+            for node in up[1:] if action == "kill-most" else up[:1]:
+                node.kill()
+
+    async def disturb():
+        ends_at = cell.clock.now + seconds
+        number = 0
+        while cell.clock.now < ends_at:
+            await disturb_once()
+            cell.start_soon(cell.put, f"random-{number}")
+            number += 1
+            await cell.clock.advance(rng.uniform(0.01, 0.4))
+
+    context.run(disturb())
--- a/src/dewspindle/_internal/network/peer_client.py
+++ b/src/dewspindle/_internal/network/peer_client.py
@@ -31,7 +31,7 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.max_reconnect_backoff_ms", 200),
     ("grpc.enable_http_proxy", 0),
     # A connection can fail without a reset, so it is probed with and without active calls.
     ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
--- a/src/dewspindle/_internal/replication/context.py
+++ b/src/dewspindle/_internal/replication/context.py
@@ -10,10 +10,11 @@
 from ..cell.view import CellView
 from ..exceptions import SyncFailedError
 from ..models.enums import Role
-from ..schema import cell_pb2, settings_pb2, storage_pb2
+from ..schema import cell_pb2, peers_pb2, settings_pb2, storage_pb2
 from ..utils.timers import Signal, TimerService
 from .log import Log, Offload
 from .metadata import MetadataStore
+from .restarted_voters import LogEnd, RestartedVoters
 from .transport import PeerTransport
 
 T = TypeVar("T")
@@ -48,6 +49,9 @@
     # Set by a leader or candidate whose write found no space. Until a write succeeds, the replica
     # does not stand for election, except at the leader's request.
     is_disk_full: bool = False
+    # A replica that restarted as a member has neither heard from a leader nor voted since.
+    awaits_leader: bool = False
+    restarted_voters: RestartedVoters = field(default_factory=RestartedVoters)
 
     @property
     def replica_id(self) -> str:
@@ -89,6 +93,27 @@
         """Return the number of voters that form a majority."""
         return len(self.membership.voters) // 2 + 1
 
+    @property
+    def log_end(self) -> LogEnd:
+        """Return the term and index of the last entry of the log."""
+        return self.log.last_term, self.log.last_index
+
+    def make_hello_request(self) -> peers_pb2.HelloRequest:
+        """Return a query of another instance, with the identity of this replica."""
+        return peers_pb2.HelloRequest(
+            instance_id=self.settings.instance_id,
+            replica_id=self.replica_id,
+            address=self.settings.peer_address,
+            availability_zone=self.settings.availability_zone,
+        )
+
+    def describe_restart(self) -> peers_pb2.RestartedReplica | None:
+        """Return the state for other voters, or None unless it awaits a leader after a restart."""
+        if not self.awaits_leader:
+            return None
+        last_term, last_index = self.log_end
+        return peers_pb2.RestartedReplica(last_term=last_term, last_index=last_index)
+
     def fail(self, error: Exception) -> None:
         """Stop the replica because of an unrecoverable error; the first error is kept."""
         if self.failure is None:
--- a/src/dewspindle/_internal/replication/election.py
+++ b/src/dewspindle/_internal/replication/election.py
@@ -7,7 +7,7 @@
 from ..utils.logs import get_logger
 from ..utils.timers import wait_for_event
 from .context import ReplicaContext
-from .handlers import ReplicaHandlers
+from .handlers import CampaignReason, ReplicaHandlers
 from .transport import PeerUnreachableError
 
 MAX_TIMEOUT_FACTOR = 1.6  # Upper bound of the randomized timeout, in election timeouts.
@@ -23,34 +23,36 @@
         self._context = context
         self._handlers = handlers
 
-    async def wait_until_due(self) -> bool:
-        """Wait until this replica should stand for election; return whether the leader asked."""
+    async def wait_until_due(self) -> CampaignReason:
+        """Wait until this replica should stand for election; return why."""
         context = self._context
         timeout_s = context.election_timeout_s
-        self._handlers.clear_transfer_request()
+        self._handlers.clear_campaign_request()
         randomized_timeout_s = timeout_s * context.rng.uniform(1.0, MAX_TIMEOUT_FACTOR)
         while True:
             remaining = (
                 context.election_timer_started_at + randomized_timeout_s - context.timers.now()
             )
             if remaining <= 0 and self._can_campaign():
-                return False
+                return CampaignReason.TIMEOUT
             asked = await wait_for_event(
                 context.timers,
-                event=self._handlers.transfer_requested,
+                event=self._handlers.campaign_requested,
                 # A replica that cannot stand when its timeout ends checks again at intervals.
                 seconds=max(remaining, timeout_s / 10),
             )
             if asked and context.is_voter:
-                return True
+                return self._handlers.campaign_reason
 
     def _can_campaign(self) -> bool:
         return self._context.is_voter and not self._context.is_disk_full
 
-    async def campaign(self, *, transfer: bool) -> int | None:
+    async def campaign(self, reason: CampaignReason) -> int | None:
         """Request votes; return the term if a quorum granted them, else None."""
         context = self._context
-        if not transfer and not await self._request_votes(context.term + 1, pre_vote=True):
+        if reason is CampaignReason.TIMEOUT and not await self._request_votes(
+            context.term + 1, pre_vote=True
+        ):
             # Other voters may have heard from the leader slightly later than this replica.
             await context.timers.sleep(
                 context.election_timeout_s * context.rng.uniform(*RETRY_DELAY_FACTORS)
@@ -58,17 +60,22 @@
             return None
         async with context.metadata_lock:
             term = context.term + 1
+            if reason is CampaignReason.ALL_RESTARTED and not context.awaits_leader:
+                return None
             context.role = Role.CANDIDATE
+            context.awaits_leader = False
             await context.save_term(term, voted_for=context.replica_id)
         context.election_timer_started_at = context.timers.now()
-        won = await self._request_votes(term, pre_vote=False, transfer=transfer)
+        won = await self._request_votes(term, pre_vote=False, reason=reason)
         # A newer term may have been observed while votes were counted.
         if not won or context.term != term or context.role is not Role.CANDIDATE:
             return None
         context.role = Role.LEADER
         return term
 
-    async def _request_votes(self, term: int, *, pre_vote: bool, transfer: bool = False) -> bool:
+    async def _request_votes(
+        self, term: int, *, pre_vote: bool, reason: CampaignReason = CampaignReason.TIMEOUT
+    ) -> bool:
         context = self._context
         tally = VoteTally(needed=context.quorum - 1, asked=len(context.other_voters))
         request = peers_pb2.VoteRequest(
@@ -78,7 +85,8 @@
             last_index=context.log.last_index,
             last_term=context.log.last_term,
             pre_vote=pre_vote,
-            transfer=transfer,
+            transfer=reason is CampaignReason.TRANSFER,
+            all_restarted=reason is CampaignReason.ALL_RESTARTED,
         )
         async with anyio.create_task_group() as group:
             for voter in context.other_voters:
--- a/src/dewspindle/_internal/replication/formation.py
+++ b/src/dewspindle/_internal/replication/formation.py
@@ -62,13 +62,7 @@
         return answers
 
     async def _query_peer(self, address: str, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
-        settings = self._context.settings
-        request = peers_pb2.HelloRequest(
-            instance_id=settings.instance_id,
-            replica_id=self._context.replica_id,
-            address=settings.peer_address,
-            availability_zone=settings.availability_zone,
-        )
+        request = self._context.make_hello_request()
         try:
             answer = await self._context.transport.say_hello(address, request)
         except PeerUnreachableError as error:
@@ -248,6 +242,7 @@
             leads=context.role is Role.LEADER,
             is_voter=context.is_voter,
             address=settings.peer_address,
+            restarted=context.describe_restart(),
         )
 
     async def handle_form(self, request: peers_pb2.FormRequest) -> peers_pb2.FormAnswer:
--- a/src/dewspindle/_internal/replication/handlers.py
+++ b/src/dewspindle/_internal/replication/handlers.py
@@ -1,5 +1,7 @@
 """Handlers of requests from other replicas."""
 
+from enum import Enum
+
 import anyio
 
 from ..exceptions import DiskFullError, NotLeaderError
@@ -13,22 +15,41 @@
 logger = get_logger(__name__)
 
 
+class CampaignReason(Enum):
+    """Why a replica stands for election."""
+
+    TIMEOUT = "timeout"  # No leader was heard from for the election timeout.
+    TRANSFER = "transfer"  # The leader asked it to.
+    ALL_RESTARTED = "all-restarted"  # Every voter has restarted, so none holds the leader lease.
+
+
 class ReplicaHandlers:
     """Handles vote, append, snapshot and transfer requests."""
 
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
         self._append_lock = anyio.Lock()
-        self._transfer_requested = anyio.Event()
+        self._campaign_requested = anyio.Event()
+        self._campaign_reason = CampaignReason.TIMEOUT
 
     @property
-    def transfer_requested(self) -> anyio.Event:
-        """Return the event that is set when the leader transfers leadership to this replica."""
-        return self._transfer_requested
+    def campaign_requested(self) -> anyio.Event:
+        """Return the event that is set when this replica should stand for election at once."""
+        return self._campaign_requested
 
-    def clear_transfer_request(self) -> None:
-        """Discard an earlier transfer request."""
-        self._transfer_requested = anyio.Event()
+    @property
+    def campaign_reason(self) -> CampaignReason:
+        """Return the reason of the last request to stand for election."""
+        return self._campaign_reason
+
+    def request_campaign(self, reason: CampaignReason) -> None:
+        """Have this replica stand for election at once."""
+        self._campaign_reason = reason
+        self._campaign_requested.set()
+
+    def clear_campaign_request(self) -> None:
+        """Discard an earlier request to stand for election."""
+        self._campaign_requested = anyio.Event()
 
     def _check_target(self, *, cell_id: str, target: str) -> None:
         context = self._context
@@ -43,13 +64,14 @@
         """Grant or deny a vote."""
         self._check_target(cell_id=request.cell_id, target=request.target)
         context = self._context
-        allowed = self._is_up_to_date(request) and (request.transfer or not self._withholds_votes())
+        is_withheld = self._withholds_votes(request)
+        allowed = self._is_up_to_date(request) and not is_withheld
         if request.pre_vote:
             granted = allowed and request.term > context.term
             return peers_pb2.VoteAnswer(term=context.term, granted=granted)
         # While votes are withheld, the term is not adopted, as that would depose a leader that may
         # be alive. Otherwise it is adopted, even if the candidate's log is out of date.
-        if not allowed and self._withholds_votes() and not request.transfer:
+        if is_withheld:
             return peers_pb2.VoteAnswer(term=context.term, granted=False)
         async with context.metadata_lock:
             granted = await self._grant_vote(request)
@@ -68,6 +90,7 @@
         if granted:
             voted_for = request.candidate
             context.election_timer_started_at = context.timers.now()
+            context.awaits_leader = False
         if (request.term, voted_for) != (context.term, context.metadata.voted_for):
             await context.save_term(request.term, voted_for=voted_for)
         return granted
@@ -76,11 +99,15 @@
         log = self._context.log
         return (request.last_term, request.last_index) >= (log.last_term, log.last_index)
 
-    def _withholds_votes(self) -> bool:
-        """Return whether a leader may be alive, so that only a transfer may change the vote."""
+    def _withholds_votes(self, request: peers_pb2.VoteRequest) -> bool:
+        """Return whether a leader may be alive that does not transfer its leadership."""
         context = self._context
+        if request.transfer:
+            return False
         if context.role is Role.LEADER:
             return True
+        if request.all_restarted and context.awaits_leader:
+            return False
         return context.timers.now() - context.election_timer_started_at < context.election_timeout_s
 
     async def handle_append(self, request: peers_pb2.AppendRequest) -> peers_pb2.AppendAnswer:
@@ -113,6 +140,7 @@
 
     def _record_leader(self, request: peers_pb2.AppendRequest) -> None:
         context = self._context
+        context.awaits_leader = False
         context.election_timer_started_at = context.timers.now()
         if context.role is not Role.FOLLOWER:
             context.step_down()
@@ -168,6 +196,7 @@
         await context.observe_term(request.term)
         if request.term < context.term:
             return peers_pb2.SnapshotAnswer(term=context.term)
+        context.awaits_leader = False
         context.election_timer_started_at = context.timers.now()
         snapshot = cell_pb2.CellSnapshot.FromString(request.snapshot)
         async with self._append_lock:
@@ -187,5 +216,5 @@
         self._check_target(cell_id=request.cell_id, target=request.target)
         accepted = request.term == self._context.term
         if accepted:
-            self._transfer_requested.set()
+            self.request_campaign(CampaignReason.TRANSFER)
         return peers_pb2.TransferAnswer(accepted=accepted)
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -25,6 +25,7 @@
 from .leadership import Leadership
 from .log import Log, Offload, run_in_thread
 from .metadata import MetadataStore
+from .restart_survey import RestartSurvey
 from .snapshots import StoredSnapshot
 from .transport import PeerTransport
 
@@ -85,6 +86,7 @@
         metadata_store=metadata_store,
         commit_index=log.snapshot_index,
         election_timer_started_at=timers.now() - compute_initial_timer_age(settings),
+        awaits_leader=metadata.phase == peers_pb2.PHASE_MEMBER,
     )
 
 
@@ -106,6 +108,7 @@
         self._context = context
         self._handlers = ReplicaHandlers(context)
         self._election = Election(context, handlers=self._handlers)
+        self._restart_survey = RestartSurvey(context, handlers=self._handlers)
         self._leadership: Leadership | None = None
         self._proposals: dict[int, Proposal] = {}
         self._last_timestamp_ms = 0
@@ -140,6 +143,7 @@
         context = self._context
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_elections)
+            group.start_soon(self._restart_survey.run)
             group.start_soon(self._apply_committed)
             group.start_soon(self._save_snapshots)
             group.start_soon(self._probe_disk_space)
@@ -149,9 +153,9 @@
 
     async def _run_elections(self) -> None:
         while True:
-            transfer = await self._election.wait_until_due()
+            reason = await self._election.wait_until_due()
             try:
-                term = await self._election.campaign(transfer=transfer)
+                term = await self._election.campaign(reason)
             except DiskFullError as error:
                 logger.error("disk full; cannot stand for election", error=str(error))
                 self._context.is_disk_full = True
