Hold up inherited work only for silent workers on which it may run

Cause: after a change of leader every job that the last leader had accepted waited until each worker had listed its tasks or its lease was surely over. Change: a step waits only for silent workers on which an earlier leader may have started it. It may not have where the steps before were not done when this leader took over, where the worker lacks the required label, and where the advisor refuses the worker, whose decision does not change. The advisor is asked once each of the silent workers left a renewal unanswered. Ruled out: a commit for each start, some 20 ms more before every task. Test: three scenarios in job_faults.feature, of which two failed before; the third shows that a job still waits for a worker that the advisor approves.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -128,6 +128,24 @@
     Then every accepted job succeeded
     And only the approved workers ran tasks
 
+  # The earlier leader may have started tasks on a worker that is silent now. Only what may run there waits.
+  Scenario: A change of leader holds up no job for a silent worker that the advisor refuses for it
+    Given a cell of 3 replicas and 6 workers, 2 approved by an advisor
+    When a worker that the advisor refuses is cut off as the leader of a job that has just been accepted is lost
+    Then the job succeeds within 3 seconds of the next leader
+    And no scheduling rule was broken
+
+  Scenario: A change of leader holds up a job for a silent worker on which it may run
+    Given a cell of 3 replicas and 6 workers, 2 approved by an advisor
+    When a worker that the advisor approves is cut off as the leader of a job that has just been accepted is lost
+    Then no task of the job starts within 3 seconds of the next leader
+
+  Scenario: A step that no earlier leader could start waits for no silent worker
+    Given a cell of 3 replicas and 6 workers, 1 approved by an advisor
+    When a worker that the advisor refuses is cut off as the leader of a job in its first step is lost
+    Then the job succeeds within 3 seconds of the next leader
+    And no scheduling rule was broken
+
   Scenario: A gang submitted while the advisor is down succeeds within 10 seconds of its recovery
     Given a cell of 3 replicas whose leader sends orders to 6 workers
     And an advisor that approves 2 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -11,6 +11,7 @@
 from features.steps.replication_steps import FAULTS, host_cell, start_cell
 
 FLAGS = {"election_timeout_ms": "500", "leader_lease_ms": "400", "heartbeat_interval_ms": "100"}
+ADVISOR = jobs_pb2.Advisor(decision_ms=50, per_worker_ms=1, validity_ms=2000)
 STARTUP_S = 3.0  # Enough to record the queue table and all workers.
 
 
@@ -44,8 +45,9 @@
 
 
 @given("a cell of {replicas:d} replicas whose leader sends orders to {workers:d} workers")
-def given_cell(context, replicas, workers):
+def given_cell(context, replicas, workers, advisor=None):
     cell = JobCell(context.folder, size=replicas, seed=1, workers=workers, **FLAGS)
+    cell.advisor = advisor
     host_cell(context, cell)
     context.jobs = 0
 
@@ -163,7 +165,7 @@
 @given("an advisor that approves {count:d} workers")
 def given_advisor(context, count):
     context.cell.approved = {f"w{number}" for number in range(count)}
-    set_advisor(context, jobs_pb2.Advisor(decision_ms=50, per_worker_ms=1, validity_ms=2000))
+    set_advisor(context, ADVISOR)
 
 
 def set_advisor(context, advisor):
@@ -177,6 +179,14 @@
     context.run(put())
 
 
+@given(
+    "a cell of {replicas:d} replicas and {workers:d} workers, {approved:d} approved by an advisor"
+)
+def given_advised_cell(context, replicas, workers, approved):
+    given_cell(context, replicas, workers, advisor=ADVISOR)
+    context.cell.approved = {f"w{number}" for number in range(approved)}
+
+
 @given("the advisor is down")
 def given_advisor_down(context):
     context.cell.advisor_fails = True
@@ -511,3 +521,41 @@
 def then_job_succeeds(context, seconds):
     context.run(context.cell.clock.advance(seconds))
     then_all_succeeded(context)
+
+
+@when("a worker that the advisor {verdict} is cut off as the leader of {what} is lost")
+def when_lost_with_worker(context, verdict, what):
+    cell = context.cell
+    number = 0 if verdict == "approves" else len(cell.approved)
+
+    async def lose():
+        if what == "a job that has just been accepted":
+            assert await cell.clock.advance_until(
+                lambda: context.last_job in cell.fleet.accepted, seconds=1.0
+            )
+        else:
+            await cell.clock.advance(0.5)
+        cell.fleet.workers[number].is_cut_off = True
+        cell.leader.kill()
+        await cell.wait_for_leader()
+
+    submit_job(context, make_plan(*WAITING_JOBS[what]))
+    context.run(lose())
+
+
+WAITING_JOBS = {
+    "a job that has just been accepted": [make_step(1)],
+    "a job in its first step": [make_step(1), make_step(1, depends_on=[0])],
+}
+
+
+@then("the job succeeds within {seconds:d} seconds of the next leader")
+def then_succeeds_soon(context, seconds):
+    then_job_succeeds(context, seconds)
+
+
+@then("no task of the job starts within {seconds:d} seconds of the next leader")
+def then_not_started(context, seconds):
+    context.run(context.cell.clock.advance(seconds))
+    started = [task for task in context.cell.fleet.starts if task.job == context.last_job]
+    assert not started, started
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -118,6 +118,27 @@
         ]
         self._send(step, queue, round_, expiring, rank=rank)
 
+    def ask_about_silent(
+        self,
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        round_: PlanningRound,
+        workers: list[str],
+        *,
+        rank: Rank,
+    ) -> None:
+        """Request advice on silent workers on which tasks of an inherited step may run.
+
+        Asks only once all of them left a lease renewal unanswered, as the others answer sooner.
+        """
+        advice = self._client.get(step.key)
+        if not self._may_ask(queue, advice, round_) or advice.is_pending:
+            return
+        undecided = [worker for worker in workers if worker not in advice.tickets]
+        if len(undecided) < len(workers) or not round_.have_missed_renewal(workers):
+            return
+        self._send(step, queue, round_, undecided, rank=rank)
+
     @staticmethod
     def _may_ask(queue: jobs_pb2.Queue, advice: StepAdvice, round_: PlanningRound) -> bool:
         return (
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -5,6 +5,7 @@
 
 from ..cell.jobs import JobStore
 from ..scheduling.gang_workers import choose_earliest_workers
+from ..scheduling.inherited_work import SilentWorker, list_possible_workers
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
 from ..schema import jobs_pb2
@@ -99,10 +100,11 @@
         now = self._timers.now()
         wall_ms = self._timers.wall_ms()
         round_ = PlanningRound(self._fleet, now=now)
-        for step in self._list_ready(
-            workers_reconciled=workers_reconciled, latest_due_ms=wall_ms + early_ms, now=now
-        ):
+        silent = [] if workers_reconciled else self._list_silent()
+        for step in self._list_ready(latest_due_ms=wall_ms + early_ms, now=now):
             queue = self._store.get_current_queue(step.run.stored)
+            if silent and step.may_run_already and self._may_run_on(silent, step, queue, round_):
+                continue
             if step.message.gang:
                 self._place_gang(step, queue, round_)
             else:
@@ -112,9 +114,36 @@
         )
         return round_.starts
 
-    def _list_ready(
-        self, *, workers_reconciled: bool, latest_due_ms: int, now: float
-    ) -> list[StepRun]:
+    def _list_silent(self) -> list[SilentWorker]:
+        """Return the workers that have not told this leader yet what runs on them."""
+        return [
+            SilentWorker(worker.id, worker.message.labels)
+            for worker in self._fleet
+            if not worker.is_reconciled
+        ]
+
+    def _may_run_on(
+        self,
+        silent: list[SilentWorker],
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        round_: PlanningRound,
+    ) -> bool:
+        """Return whether tasks of an inherited step may run on a silent worker."""
+        # The step may have started before its queue had an advisor.
+        is_advised = step.run.stored.message.queue.HasField("advisor")
+        workers = list_possible_workers(
+            silent,
+            required_label=step.message.required_label,
+            refused=self._advice.get(step.key).refused if is_advised else (),
+        )
+        if is_advised:
+            self._advice_planner.ask_about_silent(
+                step, queue, round_, workers, rank=self._rank(step, round_.now)
+            )
+        return bool(workers)
+
+    def _list_ready(self, *, latest_due_ms: int, now: float) -> list[StepRun]:
         """Return the steps that may start, in rank order."""
         ranked = []
         for step in list(self._waiting.values()):
@@ -122,8 +151,6 @@
                 del self._waiting[step.key]
                 continue
             run = step.run
-            if run.is_inherited and not workers_reconciled:
-                continue
             if run.get_due_ms(step.occurrence) > latest_due_ms or not step.is_ready:
                 continue
             ranked.append((self._rank(step, now), step.key, step))
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -1,7 +1,7 @@
 """State of one planning round."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from ..models.resources import NO_RESOURCES, Amounts
@@ -78,6 +78,11 @@
             self._largest[pool] = largest
         return largest
 
+    def have_missed_renewal(self, workers: Iterable[str]) -> bool:
+        """Return whether each of the workers left its last lease renewal unanswered."""
+        found = [self._fleet.get(worker) for worker in workers]
+        return all(worker is not None and worker.missed_renewal for worker in found)
+
     def get_free(self, worker: FleetWorker) -> Amounts:
         """Return the capacity of a worker that is still free in this round."""
         return self._free.get(worker.id, worker.free)
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -111,6 +111,9 @@
         self.units: dict[int, UnitRun] = {}
         self.waiting: dict[int, UnitRun] = {}
         self.remaining_units = 0  # Units that are not done.
+        # An earlier leader may have started tasks of the step. It cannot have if the steps that
+        # this one depends on were not done yet when this leader took over.
+        self.may_run_already = False
 
     @property
     def key(self) -> tuple[JobId, int, int]:
@@ -144,13 +147,14 @@
         self, stored: StoredJob, *, queue: jobs_pb2.Queue, accepted_at: float, is_inherited: bool
     ) -> None:
         self.stored = stored
-        # Accepted before this dispatcher started; not placed until all workers are reconciled.
-        self.is_inherited = is_inherited
         # The stored job lists only tasks of which an attempt has ended.
         self.has_started = bool(stored.message.tasks)
         self.steps: dict[tuple[int, int], StepRun] = {}
         self._unit_by_position: dict[int, UnitRun] = {}
         self._add_steps()
+        if is_inherited:
+            for step in self.steps.values():
+                step.may_run_already = step.is_ready
         self.longest_paths_s = self._compute_longest_paths()
         critical_path_s = max(self.longest_paths_s, default=0.0)
         self.latency_target = LatencyTarget(
