Send requests that wait for a silent leader to the next one as soon as it is known

Cause: each request that was sent to a frozen leader waited for its own time limit of 0.6 s. Change: an idempotent request is withdrawn when another leader becomes known, and sent there.

--- a/features/leader_search.feature
+++ b/features/leader_search.feature
@@ -19,6 +19,17 @@
     When another replica leads at once and the entry instance suspects the leader
     Then the entry instance knows it at most 0.12 seconds after that
 
+  # Requests that were sent to a frozen leader one after another would each wait for their own time limit.
+  Scenario: Requests to a leader that does not answer go to the next one as soon as it is known
+    Given an entry instance that knows 5 replicas, of which the leader falls silent
+    When it sends a request every 0.1 seconds for 0.5 seconds, and another replica leads from then on
+    Then all are answered within 0.72 seconds of the first one
+
+  Scenario: A request that must not be sent twice is not withdrawn from a silent leader
+    Given an entry instance that knows 5 replicas, of which the leader falls silent
+    When it sends a request that is not idempotent, and another replica leads at once
+    Then the outcome of the request is unknown after 0.6 seconds
+
   Scenario: A suspected leader that still leads is found again
     Given an entry instance that knows 5 replicas
     When the entry instance suspects the leader
--- a/features/steps/leader_search_steps.py
+++ b/features/steps/leader_search_steps.py
@@ -3,11 +3,16 @@
 import anyio
 from behave import given, then, when
 
+from dewspindle._internal.exceptions import OutcomeUnknownError
+from dewspindle._internal.job_instance import LEADER_ATTEMPT_TIMEOUT_S
+from dewspindle._internal.network import methods
+from dewspindle._internal.network.leader_client import LeaderClient
 from dewspindle._internal.network.leader_tracker import LeaderTracker
 from dewspindle._internal.replication.address_book import AddressBook
 from dewspindle._internal.replication.transport import PeerUnreachableError
 from dewspindle._internal.schema import peers_pb2
 from dewspindle._internal.settings.loading import load_settings
+from dewspindle._internal.utils.metrics import Metrics
 from features.lib.clock import ManualClock, ManualTimerService
 
 ADDRESSES = [f"127.0.0.1:{7000 + number}" for number in range(5)]
@@ -28,6 +33,8 @@
             await self.timers.sleep(timeout_s)
             raise PeerUnreachableError("no answer")
         await self.timers.sleep(LATENCY_S)
+        if method is methods.RELAY_JOBS:
+            return peers_pb2.RelayJobsAnswer()
         return peers_pb2.HelloAnswer(
             address=address,
             leads=address == self.leader,
@@ -56,10 +63,21 @@
         timers=timers,
         rng=random.Random(1),
     )
+    context.client = LeaderClient(
+        own_address="",
+        leader_source=context.tracker,
+        rpc_client=context.replicas,
+        timers=timers,
+        metrics=Metrics(instance="edge", zone="z"),
+        attempt_timeout_s=LEADER_ATTEMPT_TIMEOUT_S,
+    )
+    context.answered_at = []
+    context.unknown_at = []
 
 
 async def host_tracker(context):
     async with anyio.create_task_group() as group:
+        context.group = group
         context.scope = group.cancel_scope
         group.start_soon(context.tracker.run)
 
@@ -150,3 +168,58 @@
 @then("it has found the leader within {seconds:f} seconds")
 def then_found(context, seconds):
     assert advance_until_known(context, ADDRESSES[0], seconds)
+
+
+async def send_request(context, is_idempotent):
+    try:
+        await context.client.send(
+            methods.RELAY_JOBS,
+            peers_pb2.RelayJobsRequest(),
+            timeout_s=3.0,
+            is_idempotent=is_idempotent,
+        )
+    except OutcomeUnknownError:
+        context.unknown_at.append(context.clock.now - context.began_at)
+    else:
+        context.answered_at.append(context.clock.now - context.began_at)
+
+
+@when(
+    "it sends a request every 0.1 seconds for 0.5 seconds, and another replica leads from then on"
+)
+def when_sends(context):
+    context.began_at = context.clock.now
+
+    async def send():
+        for _ in range(5):
+            context.group.start_soon(send_request, context, True)
+            await context.clock.advance(0.1)
+        context.replicas.leader = ADDRESSES[3]
+        await context.clock.advance(3.0)
+
+    context.run(send())
+
+
+@then("all are answered within {seconds:f} seconds of the first one")
+def then_answered(context, seconds):
+    assert len(context.answered_at) == 5
+    assert max(context.answered_at) <= seconds, context.answered_at
+
+
+@when("it sends a request that is not idempotent, and another replica leads at once")
+def when_sends_once(context):
+    context.began_at = context.clock.now
+
+    async def send():
+        context.group.start_soon(send_request, context, False)
+        await context.clock.advance(0.1)
+        context.replicas.leader = ADDRESSES[3]
+        context.tracker.suspect_leader(ADDRESSES[0])
+        await context.clock.advance(3.0)
+
+    context.run(send())
+
+
+@then("the outcome of the request is unknown after {seconds:f} seconds")
+def then_unknown(context, seconds):
+    assert [round(at, 3) for at in context.unknown_at] == [seconds], context.unknown_at
--- a/src/dewspindle/_internal/network/leader_client.py
+++ b/src/dewspindle/_internal/network/leader_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol, TypeVar
 
+import anyio
 from google.protobuf.message import Message
 
 from ..exceptions import DewspindleError, NoLeaderError, OutcomeUnknownError
@@ -117,7 +118,9 @@
                 raise self._make_send_error(may_have_run=may_have_run)
             event = self._leader_source.signal.event
             try:
-                return await self._try_once(method, request, timeout_s=remaining)
+                return await self._try_once(
+                    method, request, timeout_s=remaining, is_idempotent=is_idempotent
+                )
             except PeerNotConnectedError:
                 self._metrics.count_retry(RetryReason.LEADER_UNREACHABLE)
             except PeerUnreachableError:
@@ -138,7 +141,12 @@
             await wait_for_event(self._timers, event=event, seconds=RETRY_DELAY_S)
 
     async def _try_once(
-        self, method: Method[RequestT, AnswerT], request: RequestT, *, timeout_s: float
+        self,
+        method: Method[RequestT, AnswerT],
+        request: RequestT,
+        *,
+        timeout_s: float,
+        is_idempotent: bool,
     ) -> AnswerT:
         address = self._leader_source.leader_address
         if not address:
@@ -146,13 +154,39 @@
         if address == self._own_address:
             return await self._local[method.name](request)  # type: ignore[no-any-return]
         try:
-            return await self._rpc_client.call(
+            call = self._rpc_client.call(
                 address, method, request, timeout_s=min(timeout_s, self._attempt_timeout_s)
             )
+            return await (self._call_until_superseded(address, call) if is_idempotent else call)
         except PeerUnreachableError:
             self._leader_source.suspect_leader(address)
             raise
 
+    async def _call_until_superseded(self, address: str, call: Awaitable[AnswerT]) -> AnswerT:
+        """Await a call; raise `PeerUnreachableError` as soon as another leader is known.
+
+        A leader that does not answer would otherwise hold the request until the attempt times out.
+        """
+        error: Exception | None = None
+        answer: AnswerT | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_when_superseded, address, group.cancel_scope)
+            try:
+                answer = await call
+            except (PeerUnreachableError, DewspindleError) as raised:
+                error = raised
+            group.cancel_scope.cancel()
+        if error is not None:
+            raise error
+        if answer is None:
+            raise PeerUnreachableError(f"{address}: another leader was found")
+        return answer
+
+    async def _cancel_when_superseded(self, address: str, scope: anyio.CancelScope) -> None:
+        while self._leader_source.leader_address in (address, ""):
+            await self._leader_source.signal.event.wait()
+        scope.cancel()
+
     def _make_send_error(self, *, may_have_run: bool) -> DewspindleError:
         """Return the error after a timeout, or after an attempt that must not be repeated."""
         if may_have_run:
