Detect the loss of a leader after 0.5 s on the users' machines

Hypothesis: callers of short jobs bear some 0.5 s of delay, so a shorter time without a leader keeps jobs in time; links take 0.9 ms and a commit 20 ms, so that detection can be shorter. Change: election timeout 500 ms (700), leader lease 400 ms (550), heartbeat 100 ms (120).

--- a/src/dewspindle/_internal/platform/instance_settings.py
+++ b/src/dewspindle/_internal/platform/instance_settings.py
@@ -31,9 +31,9 @@
             "replace_silent_ms": str(REPLACE_SILENT_MS),
             # The ready delay and the drain, one after the other, end within the grace period.
             "drain_timeout_ms": str(platform.grace_ms // 3),
-            "election_timeout_ms": "700",
-            "leader_lease_ms": "550",
-            "heartbeat_interval_ms": "120",
+            "election_timeout_ms": "500",
+            "leader_lease_ms": "400",
+            "heartbeat_interval_ms": "100",
             "ready_delay_ms": str(min(READY_DELAY_MS, platform.grace_ms // 2)),
             "snapshot_entries": "5000",
             "retained_entries": "1000",
