Let the last replica to restart tell the others itself

Change: a query tells of the sender's restart, with the random process id from the receiver's last answer, which shows that the statement is newer than the receiver's start. Queries go on until a leader is heard from.

--- a/features/lib/network.py
+++ b/features/lib/network.py
@@ -28,6 +28,7 @@
         self._handlers: dict[str, dict[str, Handler]] = {}
         self._node_timers: dict[str, ManualTimerService] = {}
         self.cut_links: set[tuple[str, str]] = set()  # Source and target of lost messages.
+        self.refused_links: set[tuple[str, str]] = set()  # Requests fail at once; answers pass.
         self.lost_answers: set[str] = set()  # Nodes whose answers are lost; requests arrive.
         self.duplicated: set[str] = set()  # Nodes whose requests are delivered twice.
         self.delays_s: dict[str, float] = {}  # Added to each message that a node sends.
@@ -57,6 +58,7 @@
 
     def heal(self) -> None:
         self.cut_links.clear()
+        self.refused_links.clear()
         self.lost_answers.clear()
         self.duplicated.clear()
         self.delays_s.clear()
@@ -73,6 +75,8 @@
             hook(source, method, request)
         await self._timers.sleep(LATENCY_S + self.delays_s.get(source, 0.0))
         await self._wait_while_paused(source)
+        if (source, target) in self.refused_links:
+            raise PeerUnreachableError("connection refused")
         if (source, target) in self.cut_links:
             await self._time_out()
         received = await self._deliver(target, method, request)
--- a/features/replication_faults.feature
+++ b/features/replication_faults.feature
@@ -161,6 +161,17 @@
     Then a leader has committed an entry of its term before half of the last lease is over
     And after recovery no acknowledged change is lost, applied twice or rolled back
 
+  # A replica that started earlier tries to connect to it at intervals only.
+  Scenario: The last replica to restart is known to the others by its own queries
+    Given a cell of 3 replicas with a leader and 5 changes
+    When all replicas are killed and restarted, and none can connect to the last one
+    Then the others know within 0.02 seconds that the last one has restarted
+
+  Scenario: A statement of a restart that may be older than the process does not count
+    Given a cell of 3 replicas with a leader and 5 changes
+    When a restarted replica is told of another's restart with the id of its former process
+    Then it does not count the other as restarted
+
   Scenario: Replicas that have restarted do not wait for a voter whose data folder was lost with its process
     Given a cell of 3 replicas with a leader and 5 changes
     When all replicas are killed and one follower restarts with an empty data folder
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -456,3 +456,76 @@
             await cell.clock.advance(rng.uniform(0.01, 0.4))
 
     context.run(disturb())
+
+
+@when("all replicas are killed and restarted, and none can connect to the last one")
+def when_last_unreachable(context):
+    cell = context.cell
+
+    async def restart():
+        for node in cell.nodes:
+            node.kill()
+        await cell.clock.settle()
+        # The best candidate would stand as soon as it knows of the others itself.
+        context.last = min(cell.nodes, key=lambda n: get_candidate_rank(n.replica.context))
+        context.others = [node for node in cell.nodes if node is not context.last]
+        for node in context.others:
+            cell.network.cut_links.add((node.address, context.last.address))
+            node.start()
+        await cell.clock.advance(0.1)
+        # Answers pass, as they use the connections of the last one.
+        cell.network.cut_links.clear()
+        cell.network.refused_links = {(n.address, context.last.address) for n in context.others}
+        context.last.start()
+
+    context.run(restart())
+
+
+def get_candidate_rank(replica):
+    return replica.log_end, replica.replica_id
+
+
+@then("the others know within {seconds:f} seconds that the last one has restarted")
+def then_known_restarted(context, seconds):
+    voters = context.last.replica.context.membership.voters
+    last = [voter for voter in voters if voter.instance_id == context.last.name]
+
+    def is_known():
+        return all(
+            node.replica.context.restarted_voters.includes_all(last) for node in context.others
+        )
+
+    assert context.run(context.cell.clock.advance_until(is_known, seconds=seconds))
+
+
+@when("a restarted replica is told of another's restart with the id of its former process")
+def when_told_stale(context):
+    cell = context.cell
+    told = next(node for node in cell.nodes if not node.is_leader)
+    context.other = next(node for node in cell.nodes if not node.is_leader and node is not told)
+    former = told.replica.context.process_id
+
+    async def tell():
+        for node in cell.nodes:
+            node.kill()
+        await cell.clock.settle()
+        told.start()
+        await cell.clock.settle()
+        request = peers_pb2.HelloRequest(
+            instance_id=context.other.name,
+            replica_id=context.other.replica.context.replica_id,
+            known_process=former,
+            restarted=peers_pb2.RestartedReplica(last_term=1, last_index=1),
+        )
+        await told.formation.handle_hello(request)
+
+    context.told = told
+    context.run(tell())
+
+
+@then("it does not count the other as restarted")
+def then_not_counted(context):
+    replica = context.told.replica.context
+    voters = [v for v in replica.membership.voters if v.instance_id == context.other.name]
+    assert replica.awaits_leader
+    assert not replica.restarted_voters.includes_all(voters)
--- a/src/dewspindle/_internal/replication/context.py
+++ b/src/dewspindle/_internal/replication/context.py
@@ -1,6 +1,7 @@
 """State that the tasks of one replica share."""
 
 import random
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -51,6 +52,7 @@
     is_disk_full: bool = False
     # A replica that restarted as a member has neither heard from a leader nor voted since.
     awaits_leader: bool = False
+    process_id: str = field(default_factory=lambda: secrets.token_hex(8))
     restarted_voters: RestartedVoters = field(default_factory=RestartedVoters)
 
     @property
@@ -107,6 +109,12 @@
             availability_zone=self.settings.availability_zone,
         )
 
+    def record_restarted(self, peer: peers_pb2.HelloRequest | peers_pb2.HelloAnswer) -> None:
+        """Record what a peer says of its replica since the start of this process."""
+        if self.awaits_leader:
+            self.restarted_voters.record(peer)
+            self.state_changed.set()
+
     def describe_restart(self) -> peers_pb2.RestartedReplica | None:
         """Return the state for other voters, or None unless it awaits a leader after a restart."""
         if not self.awaits_leader:
--- a/src/dewspindle/_internal/replication/formation.py
+++ b/src/dewspindle/_internal/replication/formation.py
@@ -226,6 +226,9 @@
         context = self._context
         settings = context.settings
         self._address_book.add([request.address])
+        # Otherwise the statement may be older than this process.
+        if request.known_process == context.process_id:
+            context.record_restarted(request)
         members = (*context.membership.voters, *context.membership.learners)
         self._address_book.add(member.address for member in members)
         return peers_pb2.HelloAnswer(
@@ -243,6 +246,7 @@
             is_voter=context.is_voter,
             address=settings.peer_address,
             restarted=context.describe_restart(),
+            process=context.process_id,
         )
 
     async def handle_form(self, request: peers_pb2.FormRequest) -> peers_pb2.FormAnswer:
--- a/src/dewspindle/_internal/replication/restart_survey.py
+++ b/src/dewspindle/_internal/replication/restart_survey.py
@@ -35,11 +35,13 @@
         async with anyio.create_task_group() as group:
             for voter in context.other_voters:
                 group.start_soon(self._query_voter, voter)
+            is_complete = False
+            # The queries go on when it is complete, as they tell the others of this replica.
             while context.awaits_leader and context.timers.now() < ends_at:
                 event = context.state_changed.event
-                if context.restarted_voters.includes_all(context.other_voters):
+                if not is_complete and context.restarted_voters.includes_all(context.other_voters):
+                    is_complete = True
                     self._request_campaign()
-                    break
                 await wait_for_event(context.timers, event=event, seconds=QUERY_INTERVAL_S)
             group.cancel_scope.cancel()
 
@@ -53,14 +55,26 @@
             self._handlers.request_campaign(CampaignReason.ALL_RESTARTED)
 
     async def _query_voter(self, voter: cell_pb2.Voter) -> None:
+        """Query a voter, and tell it of this replica's restart as soon as it has answered.
+
+        A voter that started before this replica may not reach it yet, as it tries to connect at
+        intervals. The process id in its answer shows it that the statement is newer than its start.
+        """
         context = self._context
+        known_process = ""
         while True:
             request = context.make_hello_request()
+            request.known_process = known_process
+            restarted = context.describe_restart()
+            if restarted is not None:
+                request.restarted.CopyFrom(restarted)
             try:
                 answer = await context.transport.say_hello(voter.address, request)
             except PeerUnreachableError as error:
                 logger.debug("peer unreachable", address=voter.address, why=str(error))
             else:
-                context.restarted_voters.record(answer)
-                context.state_changed.set()
+                context.record_restarted(answer)
+                if answer.process != known_process:
+                    known_process = answer.process
+                    continue
             await context.timers.sleep(QUERY_INTERVAL_S)
--- a/src/dewspindle/_internal/replication/restarted_voters.py
+++ b/src/dewspindle/_internal/replication/restarted_voters.py
@@ -9,7 +9,7 @@
 
 
 class RestartedVoters:
-    """Voters that answered a query of this process that they have restarted.
+    """Voters that told this process that they have restarted.
 
     The leader lease ends with the process of the leader. If every voter has restarted, no replica
     holds the lease, and an election need not wait until the last one would have expired.
@@ -19,12 +19,12 @@
         self._log_ends: dict[ReplicaId, LogEnd] = {}
         self._replica_ids: dict[str, ReplicaId] = {}  # By instance id.
 
-    def record(self, answer: peers_pb2.HelloAnswer) -> None:
-        """Record an answer to a query that was sent after the start of this process."""
-        replica_id = ReplicaId(answer.replica_id)
-        self._replica_ids[answer.instance_id] = replica_id
-        if answer.HasField("restarted"):
-            restarted = answer.restarted
+    def record(self, peer: peers_pb2.HelloRequest | peers_pb2.HelloAnswer) -> None:
+        """Record a statement that a peer made after the start of this process."""
+        replica_id = ReplicaId(peer.replica_id)
+        self._replica_ids[peer.instance_id] = replica_id
+        if peer.HasField("restarted"):
+            restarted = peer.restarted
             self._log_ends[replica_id] = (restarted.last_term, restarted.last_index)
         else:
             self._log_ends.pop(replica_id, None)
