Drop a campaign if the replica voted or heard from a leader during its pre-vote

Cause: a candidate took the term after its pre-vote from its current term. If it had granted another's vote meanwhile, it stood in a still later term, and its answer to the first append request deposed the leader that it had helped to elect. Ruled out: the thaw of the frozen leader, which came seconds later; a lost quorum, which logs its own line. Change: the term and the election timer are compared with those before the pre-vote. Test: a follower that grants a vote during its pre-vote stays in that term (it led in the next one before).

--- a/features/replication_faults.feature
+++ b/features/replication_faults.feature
@@ -161,6 +161,12 @@
     Then a leader has committed an entry of its term before half of the last lease is over
     And after recovery no acknowledged change is lost, applied twice or rolled back
 
+  # With a term of its own it would depose the leader that it has just helped to elect.
+  Scenario: A candidate that grants a vote during its pre-vote does not stand in a later term
+    Given a cell of 3 replicas with a leader and 5 changes
+    When the leader is lost and a follower grants the other one a vote while its own pre-vote runs
+    Then the follower has stayed in the term of that vote
+
   # A replica that started earlier tries to connect to it at intervals only.
   Scenario: The last replica to restart is known to the others by its own queries
     Given a cell of 3 replicas with a leader and 5 changes
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -1,8 +1,10 @@
 import random
 from collections.abc import Callable
 
+import anyio.lowlevel
 from behave import given, then, when
 
+from dewspindle._internal.replication.handlers import CampaignReason
 from dewspindle._internal.schema import cell_pb2, peers_pb2
 from features.lib.replicas import Node, ReplicaCell
 
@@ -529,3 +531,44 @@
     voters = [v for v in replica.membership.voters if v.instance_id == context.other.name]
     assert replica.awaits_leader
     assert not replica.restarted_voters.includes_all(voters)
+
+
+@when("the leader is lost and a follower grants the other one a vote while its own pre-vote runs")
+def when_votes_meanwhile(context):
+    cell = context.cell
+
+    async def vote():
+        cell.leader.kill()
+        followers = [node for node in cell.nodes if node.is_up]
+        replicas = [node.replica.context for node in followers]
+        # Neither follower withholds its vote any more, or stands for election by itself.
+        for replica in replicas:
+            replica.election_timer_started_at -= replica.election_timeout_s
+        first, other = replicas
+        outcome = []
+
+        async def campaign():
+            outcome.append(await followers[0].replica._election.campaign(CampaignReason.TIMEOUT))
+
+        cell.start_soon(campaign)
+        await anyio.lowlevel.checkpoint()
+        request = peers_pb2.VoteRequest(
+            cell_id=first.membership.cell_id,
+            term=first.term + 1,
+            candidate=other.replica_id,
+            last_index=other.log.last_index,
+            last_term=other.log.last_term,
+            target=first.replica_id,
+        )
+        answer = await followers[0].replica.handlers.handle_vote(request)
+        assert answer.granted
+        context.granted_term, context.follower = request.term, first
+        await cell.clock.advance_until(lambda: bool(outcome), seconds=0.1)
+        assert outcome == [None], outcome
+
+    context.run(vote())
+
+
+@then("the follower has stayed in the term of that vote")
+def then_same_term(context):
+    assert context.follower.term == context.granted_term, context.follower.term
--- a/src/dewspindle/_internal/replication/election.py
+++ b/src/dewspindle/_internal/replication/election.py
@@ -50,16 +50,21 @@
     async def campaign(self, reason: CampaignReason) -> int | None:
         """Request votes; return the term if a quorum granted them, else None."""
         context = self._context
-        if reason is CampaignReason.TIMEOUT and not await self._request_votes(
-            context.term + 1, pre_vote=True
-        ):
+        term = context.term + 1
+        timer_started_at = context.election_timer_started_at
+        if reason is CampaignReason.TIMEOUT and not await self._request_votes(term, pre_vote=True):
             # Other voters may have heard from the leader slightly later than this replica.
             await context.timers.sleep(
                 context.election_timeout_s * context.rng.uniform(*RETRY_DELAY_FACTORS)
             )
             return None
         async with context.metadata_lock:
-            term = context.term + 1
+            if context.term + 1 != term:
+                return None
+            # During the pre-vote, this replica may have voted for another or heard from a leader.
+            has_changed = context.election_timer_started_at != timer_started_at
+            if reason is CampaignReason.TIMEOUT and has_changed:
+                return None
             if reason is CampaignReason.ALL_RESTARTED and not context.awaits_leader:
                 return None
             context.role = Role.CANDIDATE
