Give up an unanswered start order after 0.3 s

A healthy worker answers within milliseconds, or after one retransmission (0.2 s). Change: the timeout of orders is 0.3 s. Test: a lost start order is followed by its stop order within 0.35 s, and the jobs succeed (failed before).

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -107,6 +107,14 @@
     Then no start order left the leader during that moment
     And the job succeeds within 5 seconds
 
+  # Callers of short jobs wait for little more than the run time of a task.
+  Scenario: A start order that is lost is given up within 0.35 seconds
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    When 12 single tasks are submitted and one worker leaves its start orders unanswered
+    Then each of these orders is followed by a stop order within 0.35 seconds
+    When the cell runs for 12 seconds
+    Then every accepted job succeeded
+
   Scenario: A job that uses up the attempts allowed by its queue ends as failed
     Given a cell of 3 replicas whose leader sends orders to 6 workers
     And a job whose task fails 5 times
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -559,3 +559,25 @@
     context.run(context.cell.clock.advance(seconds))
     started = [task for task in context.cell.fleet.starts if task.job == context.last_job]
     assert not started, started
+
+
+@when("{count:d} single tasks are submitted and one worker leaves its start orders unanswered")
+def when_one_late(context, count):
+    cell = context.cell
+    context.sent_calls = []
+    record_calls(context, cell.leader, context.sent_calls)
+    cell.fleet.workers[0].late_call_fraction = 1.0
+    for _ in range(count):
+        submit_job(context, make_plan(make_step(1)))
+    context.run(cell.clock.advance(0.1))
+    # The stop orders that follow are answered.
+    cell.fleet.workers[0].late_call_fraction = 0.0
+
+
+@then("each of these orders is followed by a stop order within {seconds:f} seconds")
+def then_stopped(context, seconds):
+    context.run(context.cell.clock.advance(seconds - 0.1))
+    started = len(context.cell.fleet.starts)
+    unanswered = context.jobs - started
+    assert unanswered, "no order was lost"
+    assert context.sent_calls.count("stop") == unanswered, context.sent_calls
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -20,7 +20,7 @@
     WorkerReplacedError,
 )
 
-ORDER_TIMEOUT_S = 0.5  # A healthy worker answers within milliseconds.
+ORDER_TIMEOUT_S = 0.3  # A healthy worker answers within milliseconds, or after one retransmission.
 STOP_RETRY_DELAY_S = 0.3  # Also while the leader lease has lapsed.
 
 logger = get_logger(__name__)
