Keep in the log that a worker drains

Cause: that a worker drains was known to the leader only. After a change of leader the next one used the worker until its next heartbeat, up to 1.5 s later, while the worker had already been told that it gets no new work. Change: the first heartbeat that announces a drain is acknowledged once the state says so; a later leader inherits it, and evicts the tasks that would not end in time at its own first such heartbeat. Test: a worker announces its leave, the leader is lost at once, and the next one starts nothing on it (failed before).

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -229,6 +229,14 @@
     Then 1 task runs
 
   # The second heartbeat arrives while the change that records the worker is being committed.
+  # Its next heartbeat may come only after the next leader has started tasks on it.
+  Scenario: A worker that has announced its leave gets no task from the next leader either
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    When a worker announces that it drains, and the leader is lost at once
+    And 12 single tasks are submitted before the next heartbeat
+    Then the draining worker has started none of them
+    And no scheduling rule was broken
+
   Scenario: A worker that starts draining while the leader records it is known as draining
     Given a cell of 3 replicas whose leader sends orders to 2 workers
     When a worker sends its first heartbeat and at once another one that says it drains
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -83,6 +83,7 @@
         self.fails_everything = False  # Tasks that start here fail after 0.1 s.
         self.hangs_everything = False  # Tasks that start here use no processor and never end.
         self.is_draining = False
+        self.sends_heartbeats = True
         self.is_up = True
         self.runs: dict[TaskRef, Run] = {}
         self.ended: list[EndedTask] = []  # Ends that the leader has not acknowledged.
@@ -336,7 +337,8 @@
         while True:
             self._heartbeat_sequence += 1
             for worker in list(self.workers):
-                if worker.is_up and not worker.is_cut_off and not worker.timers.is_paused:
+                is_connected = worker.is_up and not worker.is_cut_off
+                if is_connected and worker.sends_heartbeats and not worker.timers.is_paused:
                     self.cell.start_soon(self.send_heartbeat, worker)
             await self.timers.sleep(HEARTBEAT_INTERVAL_S)
 
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -581,3 +581,38 @@
     unanswered = context.jobs - started
     assert unanswered, "no order was lost"
     assert context.sent_calls.count("stop") == unanswered, context.sent_calls
+
+
+@when("a worker announces that it drains, and the leader is lost at once")
+def when_drains_and_lost(context):
+    cell = context.cell
+    context.worker = cell.fleet.workers[0]
+    context.worker.is_draining = True
+
+    async def announce():
+        cell.fleet.increment_heartbeat_sequence()
+        await cell.fleet.send_heartbeat(context.worker)
+
+    async def lose():
+        cell.start_soon(announce)
+        await cell.clock.advance(0.1)
+        cell.leader.kill()
+        for worker in cell.fleet.workers:
+            worker.sends_heartbeats = False
+        await cell.wait_for_leader()
+
+    context.run(lose())
+
+
+@when("{count:d} single tasks are submitted before the next heartbeat")
+def when_submitted_early(context, count):
+    for _ in range(count):
+        submit_job(context, make_plan(make_step(1)))
+    context.run(context.cell.clock.advance(1.0))
+
+
+@then("the draining worker has started none of them")
+def then_none_started(context):
+    starts = context.cell.fleet.starts
+    assert starts, "no task has started"
+    assert context.worker.id not in {worker for runs in starts.values() for worker, _ in runs}
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -213,7 +213,8 @@
             worker.lease.record_clock(heartbeat.clock_ms, received_at=now)
         if heartbeat.leaves:
             worker.has_left = True
-        began = heartbeat.draining and not worker.is_draining
+        # The end is not known yet if the drain began under an earlier leader.
+        began = heartbeat.draining and worker.drain_ends_at == float("inf")
         worker.is_draining = worker.is_draining or heartbeat.draining
         if heartbeat.draining:
             worker.drain_ends_at = now + heartbeat.remaining_ms / 1000
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -54,6 +54,7 @@
         """Add a worker on which an earlier leader may have started tasks."""
         now = self._timers.now()
         worker = self._fleet.add(message)
+        worker.is_draining = message.draining
         worker.is_reconciled = False
         worker.last_heartbeat_at = now
         worker.lease.assume_granted(now=now, seconds=lease_s)
@@ -91,12 +92,21 @@
         if self._fleet.handle_heartbeat(worker, heartbeat, now=now):
             logger.info("worker drains", worker=worker.id, remaining_ms=heartbeat.remaining_ms)
             self._on_draining(worker)
+            await self._record_draining(worker)
         if heartbeat.leaves:  # It has deregistered, unlike one that drains.
             logger.info("worker leaves", worker=worker.id, tasks=len(worker.placements))
             self.wake(worker.id)
         if worker.is_usable(now) and not was_usable:
             self._on_fleet_changed()
 
+    async def _record_draining(self, worker: FleetWorker) -> None:
+        """Record that a worker drains, so that a later leader does not use it either."""
+        changed = jobs_pb2.CalledWorker()
+        changed.CopyFrom(worker.message)
+        changed.draining = True
+        command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[changed]))
+        await self._replica.propose(command)
+
     async def _record_worker(self, message: jobs_pb2.CalledWorker) -> FleetWorker | None:
         """Record a worker in the replicated state before any task starts there."""
         while message.id in self._recording:
