Count a job as waiting until a worker has started one of its tasks

Cause: a job counted as started from its first start order. An operator would take the queue for served. Change: a job has started once a worker accepts a start, or lists a task of it as running or ended. Test: four jobs whose starts are unanswered count as waiting (0 before), and as none when they are done.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -115,6 +115,16 @@
     When the cell runs for 12 seconds
     Then every accepted job succeeded
 
+  # An operator who sees few waiting jobs would take the queue for served.
+  Scenario: Jobs whose start orders no worker has answered still count as waiting
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    When 2 workers are cut off
+    And 4 single tasks are submitted, and 1 second passes
+    Then the leader says that 4 jobs wait
+    When the workers are back for 30 seconds
+    Then every accepted job succeeded
+    And the leader says that 0 jobs wait
+
   Scenario: A job that uses up the attempts allowed by its queue ends as failed
     Given a cell of 3 replicas whose leader sends orders to 6 workers
     And a job whose task fails 5 times
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from dewspindle._internal.models.jobs import TaskRef
-from dewspindle._internal.schema import jobs_pb2, resources_pb2
+from dewspindle._internal.schema import jobs_pb2, peers_pb2, resources_pb2
 from features.lib.called_fleet import CalledWorker, Plan
 from features.lib.job_cell import JobCell
 from features.lib.stepping import advance
@@ -616,3 +616,35 @@
     starts = context.cell.fleet.starts
     assert starts, "no task has started"
     assert context.worker.id not in {worker for runs in starts.values() for worker, _ in runs}
+
+
+@when("{count:d} single tasks are submitted, and 1 second passes")
+def when_submitted_and_waited(context, count):
+    for _ in range(count):
+        submit_job(context, make_plan(make_step(1)))
+    context.run(context.cell.clock.advance(1.0))
+
+
+@then("the leader says that {count:d} jobs wait")
+def then_waiting(context, count):
+    answer = context.run(read_queue(context.cell))
+    assert answer.counted
+    assert answer.waiting == count, answer.waiting
+
+
+async def read_queue(cell):
+    answers = []
+
+    async def read():
+        answers.append(await cell.send_request(peers_pb2.JOB_READ, ""))
+
+    cell.start_soon(read)
+    assert await cell.clock.advance_until(lambda: bool(answers), seconds=1.0)
+    return answers[0]
+
+
+@when("the workers are back for {seconds:d} seconds")
+def when_workers_back(context, seconds):
+    for worker in context.cell.fleet.workers:
+        worker.is_cut_off = False
+    context.run(context.cell.clock.advance(seconds))
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -107,6 +107,7 @@
             wake_session=self._sessions.wake,
             renew_now=self._sessions.renew_now,
             may_act=self._may_act,
+            on_accepted=lambda placement: self._events.record_running(placement),
             on_rejected=self._requeue_rejected,
         )
         self._events = TaskEvents(
@@ -286,7 +287,6 @@
         if attempt is None:
             self._hand_over(unit)
             return
-        step.run.has_started = True
         # One line for a whole gang; `waited_s` counts from the acceptance of the job for each step.
         logger.info(
             "task placed",
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -41,6 +41,7 @@
         wake_session: Callable[[str], None],
         renew_now: Callable[[str], None],
         may_act: Callable[[], bool],
+        on_accepted: Callable[[Placement], None],
         on_rejected: Callable[[Placement, OrderOutcome], None],
     ) -> None:
         self._gateway = gateway
@@ -52,6 +53,7 @@
         self._wake_session = wake_session
         self._renew_now = renew_now
         self._may_act = may_act  # Whether this replica may act as the leader.
+        self._on_accepted = on_accepted
         self._on_rejected = on_rejected
         self._group: TaskGroup | None = None
 
@@ -102,6 +104,7 @@
         if answer.outcome is not OrderOutcome.ACCEPTED:
             self._handle_rejected(placement, answer.outcome)
             return
+        self._on_accepted(placement)
         if placement.phase is PlacementPhase.STARTING:
             placement.phase = PlacementPhase.RUNNING
             placement.must_be_listed_since = now
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -48,6 +48,9 @@
     def adopt_or_stop(self, worker: FleetWorker, active: ActiveTask) -> None:
         """Adopt or stop a running task without a known placement."""
 
+    def record_running(self, placement: Placement) -> None:
+        """Record that a worker has started a task."""
+
     def record_checkpoint(self, placement: Placement, checkpoint: str) -> None:
         """Store a newer checkpoint of a running task."""
 
@@ -285,6 +288,7 @@
             if placement is None or placement.attempt != task.attempt:
                 self._owner.adopt_or_stop(self._worker, task)
                 continue
+            self._owner.record_running(placement)
             if task.checkpoint:
                 self._owner.record_checkpoint(placement, task.checkpoint)
             if task.processors is not None:
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -79,6 +79,12 @@
         if stored is not None:
             self._orders.stop(placement, make_ref(placement.key, stored), reason=reason)
 
+    def record_running(self, placement: Placement) -> None:
+        """Record that a worker has started a task, so that its job no longer counts as waiting."""
+        unit = self._jobs.find_unit(placement.key)
+        if unit is not None:
+            unit.step.run.has_started = True
+
     def record_checkpoint(self, placement: Placement, checkpoint: str) -> None:
         """Store a newer checkpoint of a running task."""
         unit = self._jobs.find_unit(placement.key)
@@ -111,6 +117,7 @@
     def record_listed_end(self, placement: Placement, kind: jobs_pb2.EndKind.ValueType) -> None:
         """Update the health of the worker from a task end that is not committed yet."""
         now = self._timers.now()
+        self.record_running(placement)
         # Tasks that this leader ordered to stop are logged as well.
         if kind != jobs_pb2.END_DONE:
             logger.info(
