Take no refusal from an answer of the advisor that is partly malformed

Cause: rows of an answer that cannot be read are left out, so that their workers count as refused. For placing that is safe; for inherited work, which a refusal frees from waiting for a silent worker, it is not: the row may have been an approval, and a task could run twice. Change: such an answer is marked as incomplete, and frees no inherited step.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -158,6 +158,12 @@
     When a worker that the advisor approves is cut off as the leader of a job that has just been accepted is lost
     Then no task of the job starts within 3 seconds of the next leader
 
+  Scenario: An answer of the advisor that is partly malformed frees no inherited job
+    Given a cell of 3 replicas and 6 workers, 2 approved by an advisor
+    And answers of the advisor that are partly malformed
+    When a worker that the advisor refuses is cut off as the leader of a job that has just been accepted is lost
+    Then no task of the job starts within 3 seconds of the next leader
+
   Scenario: A step that no earlier leader could start waits for no silent worker
     Given a cell of 3 replicas and 6 workers, 1 approved by an advisor
     When a worker that the advisor refuses is cut off as the leader of a job in its first step is lost
--- a/features/lib/job_cell.py
+++ b/features/lib/job_cell.py
@@ -72,7 +72,9 @@
         await self.timers.sleep(ADVICE_LATENCY_S)
         if self.cell.advisor_fails:
             raise PeerUnreachableError("the advisor is down")
-        answer = peers_pb2.AdviseAnswer(validity_ms=APPROVAL_VALIDITY_MS)
+        answer = peers_pb2.AdviseAnswer(
+            validity_ms=APPROVAL_VALIDITY_MS, incomplete=self.cell.advisor_answers_incompletely
+        )
         for worker in request.workers:
             if worker.partition("-")[0] in self.cell.approved:
                 answer.approvals.add(worker=worker, ticket=f"ticket-{worker}")
@@ -89,6 +91,7 @@
         self.errors: list[BaseException] = []
         self.advice_calls: list[peers_pb2.AdviseRequest] = []
         self.advisor_fails = False
+        self.advisor_answers_incompletely = False
         self.approved: set[str] = set()  # Workers, without the incarnation in their ids.
         self.fleet = CalledFleet(self, size=workers)
         self.advisor: jobs_pb2.Advisor | None = None
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -187,6 +187,11 @@
     context.cell.approved = {f"w{number}" for number in range(approved)}
 
 
+@given("answers of the advisor that are partly malformed")
+def given_incomplete_advice(context):
+    context.cell.advisor_answers_incompletely = True
+
+
 @given("the advisor is down")
 def given_advisor_down(context):
     context.cell.advisor_fails = True
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -186,6 +186,7 @@
 @then("only the valid row approves a worker")
 def then_valid_row_approved(context):
     assert context.advice.tickets == {"i-1": "c81e"}
+    assert context.advice.is_incomplete
     assert context.advice.validity_s == 1.5
 
 
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -43,7 +43,9 @@
     # By worker, for every worker ever approved, also after its ticket expired or was rejected.
     tickets: dict[str, str] = field(default_factory=dict)
     expires_at: dict[str, float] = field(default_factory=dict)  # By worker, unless rejected.
-    refused: set[str] = field(default_factory=set)
+    refused: set[str] = field(default_factory=set)  # No task is placed there.
+    # Those of the refused workers on which no earlier leader can have placed a task either.
+    surely_refused: set[str] = field(default_factory=set)
     pending: set[str] = field(default_factory=set)  # Workers listed in requests without answer.
     failures: int = 0  # Consecutive calls without a decision.
     retry_at: float = float("-inf")
@@ -70,7 +72,12 @@
         return self.expires_at.get(worker_id, 0.0) < now + within_s
 
     def record_decision(
-        self, workers: Iterable[str], approved: Mapping[str, str], *, expires_at: float
+        self,
+        workers: Iterable[str],
+        approved: Mapping[str, str],
+        *,
+        expires_at: float,
+        is_incomplete: bool = False,
     ) -> None:
         """Store the advisor's decision on the workers of a request."""
         self.tickets.update(approved)
@@ -78,6 +85,8 @@
         for worker in workers:
             if worker not in approved:
                 self.refused.add(worker)
+                if not is_incomplete:
+                    self.surely_refused.add(worker)
                 self.tickets.pop(worker, None)
                 self.expires_at.pop(worker, None)
 
@@ -270,5 +279,8 @@
             request.queue, listed=len(first), approved=sum(w in approved for w in first)
         )
         advice.record_decision(
-            request.workers, approved, expires_at=now + answer.validity_ms / 1000
+            request.workers,
+            approved,
+            expires_at=now + answer.validity_ms / 1000,
+            is_incomplete=answer.incomplete,
         )
--- a/src/dewspindle/_internal/jobs/advice_helper.py
+++ b/src/dewspindle/_internal/jobs/advice_helper.py
@@ -38,7 +38,9 @@
             return peers_pb2.AdviseAnswer(busy=True)
         except NoDefiniteAnswerError as error:
             raise ServerUnreachableError(str(error)) from None
-        answer = peers_pb2.AdviseAnswer(validity_ms=int(advice.validity_s * 1000))
+        answer = peers_pb2.AdviseAnswer(
+            validity_ms=int(advice.validity_s * 1000), incomplete=advice.is_incomplete
+        )
         for worker, ticket in advice.tickets.items():
             answer.approvals.add(worker=worker, ticket=ticket)
         return answer
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -134,7 +134,11 @@
         advice = self._client.get(step.key)
         if not self._may_ask(queue, advice, round_) or advice.is_pending:
             return
-        undecided = [worker for worker in workers if worker not in advice.tickets]
+        undecided = [
+            worker
+            for worker in workers
+            if worker not in advice.tickets and worker not in advice.refused
+        ]
         if len(undecided) < len(workers) or not round_.have_missed_renewal(workers):
             return
         self._send(step, queue, round_, undecided, rank=rank)
--- a/src/dewspindle/_internal/jobs/gateway.py
+++ b/src/dewspindle/_internal/jobs/gateway.py
@@ -123,6 +123,7 @@
 
     tickets: dict[str, str]
     validity_s: float
+    is_incomplete: bool = False  # Some approvals could not be read.
 
 
 class AdvisorBusyError(Exception):
--- a/src/dewspindle/_internal/platform/advisor_client.py
+++ b/src/dewspindle/_internal/platform/advisor_client.py
@@ -50,13 +50,15 @@
 def decode_advice(fields: dict[str, Any]) -> Advice:
     """Return the approvals; skip malformed rows, which approve no worker."""
     tickets = {}
+    is_incomplete = False
     try:
         for row in read_list(fields, "approved"):
             if isinstance(row, list) and len(row) >= 2 and isinstance(row[0], str):
                 tickets[row[0]] = str(row[1])
             else:
                 logger.warning("malformed approval ignored", row=str(row)[:100])
+                is_incomplete = True
         validity_ms = read_number(fields, "validity_ms")
     except InvalidDocumentError as error:
         raise NoDefiniteAnswerError(error.detail) from None
-    return Advice(tickets=tickets, validity_s=validity_ms / 1000)
+    return Advice(tickets=tickets, validity_s=validity_ms / 1000, is_incomplete=is_incomplete)
