Log why a running task is not adopted, and where reserved and running differ

Operators could not tell from the logs which of the hypotheses on a worker beyond its capacity holds: running task found said only that a task was not adopted, and nothing compared what a worker lists with what the leader reserves there.

The first two hypotheses show as a difference, apart by the adoption; a start that was carried out late shows as a task found later.

--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -4,6 +4,7 @@
 
 from ..models.ids import JobId
 from ..models.jobs import JobLayout
+from ..models.resources import Amounts, make_amounts
 from ..schema import jobs_pb2
 from ..schema.jobs_pb2 import JOB_OPEN
 
@@ -44,6 +45,11 @@
         """Return whether every task has succeeded."""
         return self._unfinished_units == 0
 
+    def get_amounts(self, position: int) -> Amounts:
+        """Return what the task at a position takes on its worker."""
+        _, step, _ = self._layout.locate(position)
+        return make_amounts(self._message.spec.steps[step].resources)
+
     def is_done(self, position: int) -> bool:
         """Return whether the task at a position, or its gang, has succeeded."""
         unit_position = self._layout.get_unit_position(position)
--- a/src/dewspindle/_internal/jobs/open_jobs.py
+++ b/src/dewspindle/_internal/jobs/open_jobs.py
@@ -5,6 +5,7 @@
 from ..cell.jobs import JobStore, StoredJob
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
+from ..models.resources import Amounts
 from ..schema import jobs_pb2
 from .fleet import JobTaskKey
 from .runs import JobRun, UnitRun
@@ -48,6 +49,11 @@
         """Return a job as stored, also if it has ended."""
         return self._store.jobs.get(job_id)
 
+    def find_amounts(self, key: JobTaskKey) -> Amounts | None:
+        """Return what a task takes on its worker, or None if its job is unknown."""
+        stored = self.find_stored(key[0])
+        return None if stored is None else stored.get_amounts(key[1])
+
     def count_waiting(self, queue: jobs_pb2.Queue) -> int:
         """Return how many open jobs of a queue have no task that was started."""
         return sum(
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -1,10 +1,12 @@
 """The leader's session with one worker: renews its lease and reads which tasks ended."""
 
+from collections.abc import Iterable
 from typing import Protocol
 
 import anyio
 
 from ..models.jobs import TaskRef
+from ..models.resources import NO_RESOURCES, Amounts
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import Signal, TimerService, wait_for_event
@@ -48,6 +50,9 @@
     def adopt_or_stop(self, worker: FleetWorker, active: ActiveTask) -> None:
         """Adopt or stop a running task without a known placement."""
 
+    def measure_running(self, tasks: Iterable[ActiveTask]) -> Amounts:
+        """Return what running tasks of known jobs take on their worker."""
+
     def record_running(self, placement: Placement) -> None:
         """Record that a worker has started a task."""
 
@@ -107,6 +112,7 @@
         self._left_at: float | None = None  # When the session noticed that the worker has left.
         self._skip_wait = False
         self._renewal_scope: anyio.CancelScope | None = None
+        self._is_over_capacity = False
 
     def wake(self) -> None:
         """Check the state of the worker again."""
@@ -245,12 +251,15 @@
         new = [ended for ended in answer.ended if ended.number > self._committed_through]
         ends = self._process_ended(new)
         self._process_active(answer.active)
+        self._check_capacity()
         lost = [] if answer.is_incomplete else self._find_missing(answer, sent_at=sent_at)
         if new and was_reachable_and_reconciled:
             self._owner.wake_planner()
         await self._reporter.commit(ends)
         self._owner.apply_ends(ends)
         # Only now are the ends of tasks that an earlier leader started here committed.
+        if not worker.is_reconciled:
+            self._compare_reserved(answer)
         worker.is_reconciled = True
         if not was_reachable_and_reconciled:
             self._owner.wake_planner()
@@ -260,6 +269,37 @@
             logger.info("placed tasks not listed by worker", worker=worker.id, count=len(lost))
             await self._report_lost(lost)
 
+    def _compare_reserved(self, answer: RenewalAnswer) -> None:
+        """Log a difference between the reserved capacity and what the listed tasks take."""
+        running = self._owner.measure_running(answer.active)
+        reserved = self._worker.capacity - self._worker.free
+        if running == reserved:
+            return
+        logger.warning(
+            "reserved capacity differs from running tasks",
+            worker=self._worker.id,
+            running=len(answer.active),
+            running_processors=running.processors,
+            running_memory_mb=running.memory_mb,
+            reserved_processors=reserved.processors,
+            reserved_memory_mb=reserved.memory_mb,
+        )
+
+    def _check_capacity(self) -> None:
+        """Log once that the tasks on the worker exceed its capacity."""
+        free = self._worker.free
+        was_over_capacity = self._is_over_capacity
+        self._is_over_capacity = not NO_RESOURCES.fits_in(free)
+        if self._is_over_capacity and not was_over_capacity:
+            logger.error(
+                "worker over capacity",
+                worker=self._worker.id,
+                free_processors=free.processors,
+                free_memory_mb=free.memory_mb,
+                free_accelerators=free.accelerators,
+                placements=len(self._worker.placements),
+            )
+
     def _process_ended(self, new: list[EndedTask]) -> list[jobs_pb2.TaskEnd]:
         ends: list[jobs_pb2.TaskEnd] = []
         for ended in new:
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -1,10 +1,11 @@
 """What the leader does when sessions report how tasks run and end."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from enum import Enum
 
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
-from ..models.resources import NO_RESOURCES
+from ..models.resources import NO_RESOURCES, Amounts
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
@@ -25,6 +26,18 @@
 logger = get_logger(__name__)
 
 
+class Adoption(Enum):
+    """Whether the leader adopts a running task that it did not start, or why it stops the task."""
+
+    ADOPTED = "adopted"
+    JOB_UNKNOWN = "job-unknown"
+    JOB_ENDED = "job-ended"
+    TASK_DONE = "task-done"
+    PLACED_ELSEWHERE = "placed-elsewhere"
+    WORKERS_RECONCILED = "workers-reconciled"  # The task may be placed anew by now.
+    OTHER_ATTEMPT = "other-attempt"  # The other members of its gang run another attempt.
+
+
 def is_stuck(placement: Placement, now: float) -> bool:
     """Return whether a task has used almost no processor time for `STUCK_AFTER_S`.
 
@@ -188,6 +201,14 @@
             unit.not_before = max(unit.not_before, self._timers.now() + FAILED_RETRY_DELAY_S)
             self._planner.requeue(unit)
 
+    def measure_running(self, tasks: Iterable[ActiveTask]) -> Amounts:
+        """Return what running tasks of known jobs take on their worker."""
+        total = NO_RESOURCES
+        for task in tasks:
+            key = self._jobs.find_key(task.task)
+            total += (key and self._jobs.find_amounts(key)) or NO_RESOURCES
+        return total
+
     def adopt_or_stop(self, worker: FleetWorker, active: ActiveTask) -> None:
         """Adopt a task that an earlier leader started; stop any other unknown task."""
         key = self._jobs.find_key(active.task)
@@ -204,17 +225,20 @@
             estimate_s=unit.step.estimate_s if unit is not None else 0.0,
             is_lasting=unit is not None and unit.step.message.long_running,
         )
-        is_adopted = unit is not None and key is not None and self._can_adopt(unit, key, active)
-        if key is not None and key not in worker.placements:
+        adoption = self._check_adoption(key, unit, active)
+        is_reserved = key is not None and key not in worker.placements
+        if is_reserved:
             worker.add(placement)
         logger.info(
             "running task found",
             job=active.task.job,
             worker=worker.id,
             attempt=active.attempt,
-            adopted=is_adopted,
+            adoption=adoption.value,
+            reserved_processors=placement.amounts.processors if is_reserved else 0,
+            reserved_memory_mb=placement.amounts.memory_mb if is_reserved else 0,
         )
-        if unit is None or key is None or not is_adopted:
+        if unit is None or key is None or adoption is not Adoption.ADOPTED:
             self._orders.stop(placement, active.task, reason="it matches no open attempt")
             return
         unit.placements[key[1]] = placement
@@ -223,7 +247,19 @@
         unit.step.run.has_started = True
         self._planner.remove_unit(unit)
 
-    def _can_adopt(self, unit: UnitRun, key: JobTaskKey, active: ActiveTask) -> bool:
-        if unit.is_done or key[1] in unit.placements or not self._may_adopt():
-            return False
-        return all(other.attempt == active.attempt for other in unit.placements.values())
+    def _check_adoption(
+        self, key: JobTaskKey | None, unit: UnitRun | None, active: ActiveTask
+    ) -> Adoption:
+        if key is None:
+            return Adoption.JOB_UNKNOWN
+        if unit is None:
+            return Adoption.JOB_ENDED
+        if unit.is_done:
+            return Adoption.TASK_DONE
+        if key[1] in unit.placements:
+            return Adoption.PLACED_ELSEWHERE
+        if not self._may_adopt():
+            return Adoption.WORKERS_RECONCILED
+        if any(other.attempt != active.attempt for other in unit.placements.values()):
+            return Adoption.OTHER_ATTEMPT
+        return Adoption.ADOPTED
