Add a failing test: a new leader overcommits a worker that still runs an ended job

The next leader starts its tasks beside the running ones: 9,000 millicores on a worker of 8,000, 0.01 s after the take-over, each time.

The other hypotheses were not reproduced: the stand-in workers run one attempt of a task at a time, and fence a start of the lost leader once a renewal of the next one has arrived.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -138,6 +138,15 @@
     And the job is cancelled and 2 seconds pass
     Then no task of the job runs and its state is cancelled
 
+  # As in the incident of docs/incidents/inc1-limit.md.
+  Scenario: Tasks of a job that has ended keep their capacity after a change of leader until they have stopped
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    And a job of 16 tasks of 30 seconds
+    And a job of 8 tasks of 1 seconds
+    When the first job is cancelled, and the leader is lost before a stop order arrives
+    Then the job succeeds within 5 seconds of the next leader
+    And no scheduling rule was broken
+
   Scenario: Tasks start only on workers that the advisor approves
     Given a cell of 3 replicas whose leader sends orders to 6 workers
     And an advisor that approves 2 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -292,6 +292,28 @@
     context.run(context.cell.clock.advance(seconds))
 
 
+@when("the first job is cancelled, and the leader is lost before a stop order arrives")
+def when_cancelled_and_lost(context):
+    cell = context.cell
+    job = min(cell.fleet.plans)
+
+    async def cancel_and_lose():
+        await cell.clock.advance(1.0)
+        assert sum(len(worker.runs) for worker in cell.fleet.workers) == 16
+        for worker in cell.fleet.workers:
+            worker.is_cut_off = True
+        cell.start_soon(cell.cancel, job)
+        assert await cell.clock.advance_until(
+            lambda: cell.get_state(job) == jobs_pb2.JOB_CANCELLED, seconds=1.0
+        )
+        cell.leader.kill()
+        for worker in cell.fleet.workers:
+            worker.is_cut_off = False
+        await cell.wait_for_leader()
+
+    context.run(cancel_and_lose())
+
+
 @when("the job is submitted {count:d} more times")
 def when_submitted_again(context, count):
     cell = context.cell
