Read what runs on a worker that was removed and recorded anew before it gets a task

Not seen by callers; found by reading what else is taken as empty without its list. A worker that was cut off for 15 s and counted as idle is removed. When it comes back it was recorded anew as if nothing could run there, and got tasks at once; a start order that it carried out late meanwhile was only found with the first list. Change: every worker counts as unreconciled until its lists were read, or its lease is over, in this term. Inherited work waits, as before, only for workers that were recorded before the term (is_inherited), so a new worker that does not answer holds nothing up. A new worker costs one call before its first task. Ruled out: keeping removed workers in memory; a later leader would not know them. Test, failed before: a worker that is cut off until it is removed comes back with 8 running tasks; 9,000 of 8,000 millicores.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -155,6 +155,15 @@
     Then every accepted job succeeded
     And no scheduling rule was broken
 
+  # An order that was carried out late may have started tasks on it meanwhile.
+  Scenario: A worker that was removed while it was silent gets no task before the leader has read what runs there
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    When a worker is cut off until the leader has removed it
+    And it runs 8 tasks of a job that the cell does not know as it comes back
+    And a job of 16 tasks is submitted, and 6 seconds pass
+    Then every accepted job succeeded
+    And no scheduling rule was broken
+
   Scenario: Two attempts of a task on one worker take capacity twice, and release it one by one
     Given a worker with two attempts of a task of 1000 millicores
     Then 6000 of its 8000 millicores are free
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -318,26 +318,61 @@
     context.run(cancel_and_lose())
 
 
+def start_unknown_tasks(context, count):
+    """Start tasks of a job that the cell does not know on the first worker."""
+    fleet = context.cell.fleet
+    worker = fleet.workers[0]
+    job = JobId("unknown")
+    fleet.plans[job] = make_plan(make_step(count), run_s=30.0)
+    for index in range(count):
+        order = StartOrder(
+            task=TaskRef(job, 0, 0, index),
+            attempt=1,
+            payload="payload",
+            deadline_ms=worker.clock_ms + 4000,
+            fencing_token=worker.token,
+        )
+        assert worker.start(order).outcome is OrderOutcome.ACCEPTED
+
+
 @when("a worker runs {count:d} tasks of a job that the cell does not know as the leader is lost")
 def when_unknown_tasks_run(context, count):
+    async def start_and_lose():
+        start_unknown_tasks(context, count)
+        context.cell.leader.kill()
+
+    context.run(start_and_lose())
+
+
+@when("a worker is cut off until the leader has removed it")
+def when_removed(context):
     cell = context.cell
     worker = cell.fleet.workers[0]
-    job = JobId("unknown")
-    cell.fleet.plans[job] = make_plan(make_step(count), run_s=30.0)
+    dispatcher = cell.leader.job_leader_services.dispatcher
 
-    async def start_and_lose():
-        for index in range(count):
-            order = StartOrder(
-                task=TaskRef(job, 0, 0, index),
-                attempt=1,
-                payload="payload",
-                deadline_ms=worker.clock_ms + 4000,
-                fencing_token=worker.token,
-            )
-            assert worker.start(order).outcome is OrderOutcome.ACCEPTED
-        cell.leader.kill()
+    async def cut_off():
+        worker.is_cut_off = True
+        assert await cell.clock.advance_until(
+            lambda: dispatcher._fleet.get(worker.id) is None, seconds=40.0
+        )
 
-    context.run(start_and_lose())
+    context.run(cut_off())
+
+
+@when("it runs {count:d} tasks of a job that the cell does not know as it comes back")
+def when_back_with_tasks(context, count):
+    cell = context.cell
+    worker = cell.fleet.workers[0]
+    dispatcher = cell.leader.job_leader_services.dispatcher
+
+    async def come_back():
+        start_unknown_tasks(context, count)
+        worker.is_cut_off = False
+        assert await cell.clock.advance_until(
+            lambda: dispatcher._fleet.get(worker.id) is not None, seconds=2.0
+        )
+
+    context.run(come_back())
 
 
 @when("a job of {count:d} tasks is submitted, and {seconds:d} seconds pass")
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -268,7 +268,7 @@
 
         Each of them has then listed its tasks, or its lease has expired.
         """
-        if self._workers_reconciled or not all(worker.is_reconciled for worker in self._fleet):
+        if self._workers_reconciled or any(w.may_hold_inherited_work for w in self._fleet):
             return
         self._workers_reconciled = True
         logger.info("inherited work is known", term=self._term)
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -88,7 +88,9 @@
     drain_ends_at: float = float("inf")
     has_left: bool = False  # It has deregistered, or another incarnation answers at its address.
     is_reachable: bool = True
-    is_reconciled: bool = True  # Its task lists were read in this term, or nothing can run there.
+    is_inherited: bool = False  # It was recorded before this term.
+    # Its task lists were read since it was added, or its lease has expired since then.
+    is_reconciled: bool = False
     suspended_until: float = float("-inf")
     consecutive_suspensions: int = 0
     consecutive_unanswered_orders: int = 0
@@ -105,6 +107,11 @@
         """Return the id and address for calls to the worker."""
         return WorkerEndpoint(self.message.id, self.message.address)
 
+    @property
+    def may_hold_inherited_work(self) -> bool:
+        """Return whether tasks that an earlier leader started there may be unknown."""
+        return self.is_inherited and not self.is_reconciled
+
     def find_unusable_reason(self, now: float) -> str:
         """Return why no task may be started on the worker, or an empty string.
 
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -119,7 +119,7 @@
         return [
             SilentWorker(worker.id, worker.message.labels)
             for worker in self._fleet
-            if not worker.is_reconciled
+            if worker.may_hold_inherited_work
         ]
 
     def _may_run_on(
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -55,7 +55,7 @@
         now = self._timers.now()
         worker = self._fleet.add(message)
         worker.is_draining = message.draining
-        worker.is_reconciled = False
+        worker.is_inherited = True
         worker.last_heartbeat_at = now
         worker.lease.assume_granted(now=now, seconds=lease_s)
         self._open_session(worker)
