Import libraries after the start on the event loop, not in a thread

Cause: the HTTP client of a replica is imported in a thread beside the first election. Change: a module and its libraries are imported in the thread of the event loop, one after another, and other tasks run in between. The metrics exporter likewise, 5 s after the start. Test, failed before: modules that are imported after the start see one thread only.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -5,6 +5,8 @@
 import runpy
 import signal
 import socket
+import sys
+import threading
 from unittest import mock
 
 import anyio.lowlevel
@@ -22,6 +24,7 @@
 )
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
+from dewspindle._internal.network.deferred_client import DeferredJsonClient
 from dewspindle._internal.network.json_client import JsonClient
 from dewspindle._internal.network.pooled_client import PooledJsonClient
 from dewspindle._internal.platform.advisor_client import decode_advice
@@ -469,6 +472,46 @@
     assert signal.getsignal(signal.SIGHUP) == signal.SIG_IGN
 
 
+@given("a client and metrics whose libraries are imported after the start")
+def given_deferred_imports(context):
+    context.modules = ("wave", "colorsys", "dewspindle._internal.utils.instruments")
+    context.importers = set()
+
+    def record(name, *args):
+        """Record the thread that looks for a module; finds none."""
+        context.importers.add(threading.get_ident())
+
+    finder = mock.Mock(find_spec=record)
+    patches = [
+        mock.patch.dict(sys.modules),
+        mock.patch.object(sys, "meta_path", [finder, *sys.meta_path]),
+    ]
+    for patch in patches:
+        patch.start()
+        context.closers.append(patch.stop)
+    for module in context.modules:
+        sys.modules.pop(module, None)
+
+
+@when("both are loaded while other tasks run")
+def when_loaded(context):
+    client = DeferredJsonClient("wave", libraries=("colorsys",), make_client=lambda module: module)
+    metrics = Metrics(instance="i", zone="z")
+
+    async def load():
+        await client.load()
+        await metrics.load_later(lambda seconds: anyio.lowlevel.checkpoint())
+
+    context.run(load())
+
+
+@then("every module was imported in the thread of the event loop")
+def then_imported(context):
+    missing = set(context.modules) - set(sys.modules)
+    assert not missing, missing
+    assert context.importers == {threading.get_ident()}, context.importers
+
+
 @given("metrics with a counter of 3 and a value of 0.25 before the first scrape")
 def given_early_metrics(context):
     context.metrics = Metrics(instance="i", zone="z")
--- a/src/dewspindle/_internal/network/deferred_client.py
+++ b/src/dewspindle/_internal/network/deferred_client.py
@@ -1,12 +1,11 @@
-"""JSON client whose HTTP library is imported in a thread after the start of the program."""
+"""JSON client whose HTTP library is imported after the start of the program."""
 
-from collections.abc import Callable
-from importlib import import_module
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import anyio
-import anyio.to_thread
 
+from ..utils.imports import import_in_steps
 from .json_sender import JsonResponse, JsonSender
 
 MakeClient = Callable[[Any], JsonSender]  # Takes the imported module.
@@ -18,8 +17,9 @@
     The library takes up to a third of the time to start, which callers wait for after a power loss.
     """
 
-    def __init__(self, module: str, *, make_client: MakeClient) -> None:
+    def __init__(self, module: str, *, libraries: Sequence[str], make_client: MakeClient) -> None:
         self._module = module
+        self._libraries = libraries
         self._make_client = make_client
         self._client: JsonSender | None = None
         self._lock = anyio.Lock()
@@ -28,7 +28,7 @@
         """Import the library unless that is done, and return the client."""
         async with self._lock:
             if self._client is None:
-                module = await anyio.to_thread.run_sync(import_module, self._module, __package__)
+                module = await import_in_steps(self._module, __package__, libraries=self._libraries)
                 self._client = self._make_client(module)
             return self._client
 
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -33,6 +33,7 @@
     timers = SystemTimerService()
     client = DeferredJsonClient(
         ".pooled_client",
+        libraries=("email.policy", "multidict", "yarl", "aiosignal", "aiohttp"),
         make_client=lambda module: module.PooledJsonClient(
             connections_per_address=CONNECTIONS_PER_WORKER
         ),
--- a/src/dewspindle/_internal/platform/entry_program.py
+++ b/src/dewspindle/_internal/platform/entry_program.py
@@ -28,7 +28,9 @@
         )
     timers = SystemTimerService()
     client = DeferredJsonClient(
-        ".json_client", make_client=lambda module: module.AddressedJsonClient()
+        ".json_client",
+        libraries=("h11", "httpcore"),
+        make_client=lambda module: module.AddressedJsonClient(),
     )
     instance = JobEntryInstance(
         make_instance_settings(platform),
--- a/src/dewspindle/_internal/utils/metrics.py
+++ b/src/dewspindle/_internal/utils/metrics.py
@@ -3,17 +3,16 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from enum import Enum
-from importlib import import_module
 from typing import TYPE_CHECKING
 
-import anyio.to_thread
-
+from .imports import import_in_steps
 from .refusals import Refusal, RetryReason
 
 if TYPE_CHECKING:
     from .instruments import Instruments
 
 LOAD_DELAY_S = 5.0  # From the start of an instance until it loads the exporter without a scrape.
+EXPORTER_LIBRARIES = ("opentelemetry.sdk.metrics", "opentelemetry.exporter.prometheus")
 MAX_EARLY_VALUES = 10_000  # Values of histograms that are kept until then; later ones are dropped.
 
 Sleep = Callable[[float], Awaitable[None]]
@@ -57,9 +56,9 @@
             self._early_values.append((name, value, labels))
 
     async def load_later(self, sleep: Sleep) -> None:
-        """Load the exporter in a thread once the instance has started."""
+        """Load the exporter once the instance has started."""
         await sleep(LOAD_DELAY_S)
-        await anyio.to_thread.run_sync(import_module, ".instruments", __package__)
+        await import_in_steps(".instruments", __package__, libraries=EXPORTER_LIBRARIES)
         self._load()
 
     def _load(self) -> "Instruments":
