Suspect a worker of silence only beyond what its peers' losses explain

Two unanswered orders in a row suspended a worker, so sound workers lost their place, at some time 20 of 24, and the rest were overfilled. Hypothesis: how many lost answers point to a worker depends on how many its peers lose meanwhile. Change: scheduling/answer_loss.py keeps the recent calls of each worker. The network's loss is the median over the other workers; a worker is suspended once the network alone would lose so many orders in a row with a probability below 1 %: two where nothing is lost, as before, four at 30 %, eight at most. At most a quarter of the fleet is out for this at once. Ruled out: an average over the fleet in place of the median, which a few hanging workers would raise.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -222,6 +222,33 @@
     When the cell runs for 30 seconds
     Then every accepted job succeeded
 
+  Scenario Outline: Where the network loses <loss> percent of the answers, a worker is suspected after <orders> orders
+    Given a fleet of 24 workers that left <loss> percent of their calls unanswered
+    When one more worker leaves its orders unanswered
+    Then it is suspended after <orders> orders
+
+    Examples:
+      | loss | orders |
+      | 0    | 2      |
+      | 5    | 2      |
+      | 10   | 2      |
+      | 30   | 4      |
+      | 60   | 8      |
+      | 100  | 8      |
+
+  Scenario: A quarter of the workers hang, and each of them is suspended after 2 orders
+    Given a fleet of 24 workers that left 0 percent of their calls unanswered
+    When 6 of its workers leave their orders unanswered
+    Then each of the 6 is suspended after 2 orders
+
+  # Workers that run what they were given must not lose their place for lost answers.
+  Scenario: Workers that lose 30 percent of the answers are hardly ever suspended
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And workers that leave 30 percent of calls unanswered and execute starts and stops late
+    And 60 jobs of 6 tasks over 10 seconds
+    When the cell runs for 10 seconds
+    Then at most 2 workers were suspended at a time
+
   # If a single unanswered order suspended its worker, few workers would be left for the jobs.
   Scenario: Calls that workers occasionally leave unanswered delay at most 5 percent of the jobs
     Given a cell of 3 replicas whose leader sends orders to 6 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -129,6 +129,16 @@
     "workers that leave {percent:d} percent of calls unanswered and execute starts and stops late"
 )
 def given_late_calls(context, percent):
+    context.most_suspended = 0
+
+    def count_suspended():
+        leader = context.cell.leader
+        dispatcher = leader.job_leader_services.dispatcher if leader is not None else None
+        workers = dispatcher._fleet if dispatcher is not None else ()
+        suspended = sum(w.suspended_until > context.cell.clock.now for w in workers)
+        context.most_suspended = max(context.most_suspended, suspended)
+
+    context.cell.clock.add_check(count_suspended)
     for worker in context.cell.fleet.workers:
         worker.late_call_fraction = percent / 100
 
@@ -773,3 +783,53 @@
     for worker in context.cell.fleet.workers:
         worker.is_cut_off = False
     context.run(context.cell.clock.advance(seconds))
+
+
+def make_fleet(size, *, loss_percent):
+    """Return a fleet whose workers answered the rest of 100 calls each."""
+    fleet = Fleet()
+    for number in range(size):
+        worker = fleet.add(jobs_pb2.CalledWorker(id=f"w{number}", capacity=CAPACITY.to_message()))
+        for call in range(100):
+            worker.answer_counts.record(is_answered=call >= loss_percent, now=0.0)
+    return fleet
+
+
+@given("a fleet of {size:d} workers that left {percent:d} percent of their calls unanswered")
+def given_fleet(context, size, percent):
+    context.fleet = make_fleet(size, loss_percent=percent)
+
+
+def count_orders_until_suspended(fleet, worker):
+    for order in range(1, 20):
+        worker.record_unanswered_order(0.0)
+        if fleet.suspend_if_silent(worker, 0.0):
+            return order
+    return None
+
+
+@when("one more worker leaves its orders unanswered")
+def when_one_silent(context):
+    worker = context.fleet.add(jobs_pb2.CalledWorker(id="silent", capacity=CAPACITY.to_message()))
+    context.orders = [count_orders_until_suspended(context.fleet, worker)]
+
+
+@when("{count:d} of its workers leave their orders unanswered")
+def when_many_silent(context, count):
+    workers = list(context.fleet)[:count]
+    context.orders = [count_orders_until_suspended(context.fleet, worker) for worker in workers]
+
+
+@then("it is suspended after {orders:d} orders")
+def then_suspended(context, orders):
+    assert context.orders == [orders], context.orders
+
+
+@then("each of the {count:d} is suspended after {orders:d} orders")
+def then_all_suspended(context, count, orders):
+    assert context.orders == [orders] * count, context.orders
+
+
+@then("at most {count:d} workers were suspended at a time")
+def then_few_suspended(context, count):
+    assert context.most_suspended <= count, context.most_suspended
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -12,6 +12,13 @@
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
 from ..models.resources import Amounts, make_amounts
+from ..scheduling.answer_loss import (
+    MAX_SUSPENDED_FRACTION,
+    MIN_UNANSWERED,
+    AnswerCounts,
+    compute_network_loss,
+    count_suspicious,
+)
 from ..scheduling.worker_blame import is_worker_suspect
 from ..schema import jobs_pb2, peers_pb2
 from .gateway import WorkerEndpoint
@@ -25,7 +32,6 @@
 HEARTBEAT_TIMEOUT_S = 5.0  # Three missed heartbeats of 1.5 s and a margin.
 SUSPENSION_BASE_S = 2.0  # First suspension, after failed or stuck tasks or a rejected start.
 SUSPENSION_MAX_S = 16.0
-UNANSWERED_BEFORE_SUSPENSION = 2  # Consecutive start orders; the network may lose a single one.
 UNANSWERED_SUSPENSION_S = 1.0
 # A worker that answers again after unanswered calls is a sign that orders are delayed. Other
 # unanswered orders may then still arrive for as long as an order can take, `MAX_ORDER_DELAY_S`.
@@ -94,6 +100,8 @@
     suspended_until: float = float("-inf")
     consecutive_suspensions: int = 0
     consecutive_unanswered_orders: int = 0
+    answer_counts: AnswerCounts = field(default_factory=AnswerCounts)  # Of all kinds of calls.
+    is_suspended_as_silent: bool = False  # By the last suspension, for unanswered orders.
     missed_renewal: bool = False  # The last lease renewal was not answered.
     recovered_at: float = float("-inf")  # Last answer after an unanswered start or renewal.
     failures: Counter[JobId] = field(default_factory=Counter)  # By job, since the last success.
@@ -157,18 +165,26 @@
 
         The unanswered call may still arrive.
         """
+        self.answer_counts.record(is_answered=True, now=now)
         if self.consecutive_unanswered_orders or self.missed_renewal:
             self.recovered_at = now
         self.consecutive_unanswered_orders = 0
         self.missed_renewal = False
 
-    def record_unanswered_order(self, now: float) -> bool:
-        """Record an unanswered start order; return whether it suspends the worker."""
+    def record_unanswered_order(self, now: float) -> None:
+        """Record an unanswered start order."""
         self.consecutive_unanswered_orders += 1
-        if self.consecutive_unanswered_orders < UNANSWERED_BEFORE_SUSPENSION:
-            return False
+        self.answer_counts.record(is_answered=False, now=now)
+
+    def record_unanswered_renewal(self, now: float) -> None:
+        """Record an unanswered lease renewal."""
+        self.missed_renewal = True
+        self.answer_counts.record(is_answered=False, now=now)
+
+    def suspend_as_silent(self, now: float) -> None:
+        """Suspend the worker for unanswered orders."""
         self.suspended_until = max(self.suspended_until, now + UNANSWERED_SUSPENSION_S)
-        return True
+        self.is_suspended_as_silent = True
 
     def suspend(self, now: float) -> float:
         """Suspend the worker with exponential backoff; return the duration in seconds."""
@@ -177,6 +193,7 @@
         )
         self.consecutive_suspensions += 1
         self.suspended_until = now + suspension_s
+        self.is_suspended_as_silent = False
         return suspension_s
 
     def record_end(self, job: JobId, kind: jobs_pb2.EndKind.ValueType, now: float) -> bool:
@@ -218,6 +235,23 @@
         """Return whether any worker recently answered again after unanswered calls."""
         return any(now - worker.recovered_at < LATE_ORDER_WINDOW_S for worker in self)
 
+    def suspend_if_silent(self, worker: FleetWorker, now: float) -> bool:
+        """Suspend a worker that leaves more orders unanswered than the network explains.
+
+        Returns whether it was suspended. Only a part of the fleet is suspended at once for this.
+        """
+        unanswered = worker.consecutive_unanswered_orders
+        if unanswered < MIN_UNANSWERED:
+            return False
+        loss = compute_network_loss((w.answer_counts for w in self if w is not worker), now)
+        if unanswered < count_suspicious(loss):
+            return False
+        silent = sum(w.is_suspended_as_silent and now < w.suspended_until for w in self)
+        if silent >= max(1, MAX_SUSPENDED_FRACTION * len(self)):
+            return False
+        worker.suspend_as_silent(now)
+        return True
+
     def remove(self, worker_id: str) -> None:
         """Remove a worker."""
         self._workers.pop(worker_id, None)
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -110,7 +110,9 @@
     def _handle_unanswered(self, placement: Placement, error: NoDefiniteAnswerError) -> None:
         """Send a stop order, so that the unanswered start is not carried out later."""
         worker = placement.worker
-        is_suspended = worker.record_unanswered_order(self._timers.now())
+        now = self._timers.now()
+        worker.record_unanswered_order(now)
+        is_suspended = self._fleet.suspend_if_silent(worker, now)
         if isinstance(error, AnswerTimeoutError):
             worker.lease.record_unanswered(sent_at=placement.placed_at, seconds=self._lease_s)
         self._metrics.count_retry(RetryReason.START_UNANSWERED)
@@ -160,6 +162,7 @@
                 worker.has_left = True
                 break
             except NoDefiniteAnswerError as error:
+                worker.answer_counts.record(is_answered=False, now=self._timers.now())
                 logger.info("stop unanswered", worker=worker.id, why=str(error))
                 await self._timers.sleep(STOP_RETRY_DELAY_S)
                 continue
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -191,7 +191,7 @@
         except NoDefiniteAnswerError as error:
             if is_renewed and isinstance(error, AnswerTimeoutError):
                 worker.lease.record_unanswered(sent_at=sent_at, seconds=self._lease_s)
-            worker.missed_renewal = True
+            worker.record_unanswered_renewal(self._timers.now())
             await self._handle_failed_renewal(str(error))
             return
         finally:
