Log each suspension of a worker with its cause

An operator could not tell from the log why workers were out: worker shunned was written for failed tasks only, unanswered orders were a field of another line, and a rejected start or a stuck task suspended a worker without a word. Change: one line, worker suspended, for all of them, with cause (tasks-failed, task-stuck, start-rejected, orders-unanswered), for how long, and the evidence. The bound on suspended workers uses the cause.

--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -3,7 +3,7 @@
 import anyio.lowlevel
 from behave import given, then, when
 
-from dewspindle._internal.jobs.fleet import Fleet, Placement, PlacementPhase
+from dewspindle._internal.jobs.fleet import Fleet, Placement, PlacementPhase, SuspensionCause
 from dewspindle._internal.jobs.gateway import OrderOutcome, StartOrder
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
@@ -803,7 +803,8 @@
 def count_orders_until_suspended(fleet, worker):
     for order in range(1, 20):
         worker.record_unanswered_order(0.0)
-        if fleet.suspend_if_silent(worker, 0.0):
+        fleet.suspend_if_silent(worker, 0.0)
+        if worker.suspension_cause is SuspensionCause.ORDERS_UNANSWERED:
             return order
     return None
 
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -16,7 +16,7 @@
 from ..utils.timers import Signal, TimerService, wait_for_event
 from .advice import AdviceCall, AdviceClient
 from .end_reporter import EndReporter
-from .fleet import Fleet, FleetWorker, Placement, PlacementPhase
+from .fleet import Fleet, FleetWorker, Placement, PlacementPhase, SuspensionCause
 from .gateway import OrderOutcome, WorkerGateway
 from .helper_registry import Helper
 from .load_report import LoadReport
@@ -341,7 +341,7 @@
         # A passed deadline or an order not sent is no sign of a fault of the worker. Every other
         # outcome that is not handled above suspends it, including FENCED and INVALID.
         elif outcome not in (OrderOutcome.DEADLINE_PASSED, OrderOutcome.NOT_SENT):
-            placement.worker.suspend(now)
+            placement.worker.suspend(now, SuspensionCause.START_REJECTED)
         for other in list(unit.placements.values()):
             self._orders.stop(other, reason="another member of the gang was rejected")
         if unit.is_waiting:
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -21,6 +21,7 @@
 )
 from ..scheduling.worker_blame import is_worker_suspect
 from ..schema import jobs_pb2, peers_pb2
+from ..utils.logs import get_logger
 from .gateway import WorkerEndpoint
 from .leases import WorkerLease
 
@@ -37,6 +38,17 @@
 # unanswered orders may then still arrive for as long as an order can take, `MAX_ORDER_DELAY_S`.
 LATE_ORDER_WINDOW_S = 12.0
 
+logger = get_logger(__name__)
+
+
+class SuspensionCause(Enum):
+    """Why a worker gets no tasks for a while."""
+
+    TASKS_FAILED = "tasks-failed"
+    TASK_STUCK = "task-stuck"
+    START_REJECTED = "start-rejected"
+    ORDERS_UNANSWERED = "orders-unanswered"
+
 
 class PlacementPhase(Enum):
     """Phases of a task on a worker."""
@@ -98,10 +110,10 @@
     # Its task lists were read since it was added, or its lease has expired since then.
     is_reconciled: bool = False
     suspended_until: float = float("-inf")
+    suspension_cause: SuspensionCause | None = None  # Of the last suspension.
     consecutive_suspensions: int = 0
     consecutive_unanswered_orders: int = 0
     answer_counts: AnswerCounts = field(default_factory=AnswerCounts)  # Of all kinds of calls.
-    is_suspended_as_silent: bool = False  # By the last suspension, for unanswered orders.
     missed_renewal: bool = False  # The last lease renewal was not answered.
     recovered_at: float = float("-inf")  # Last answer after an unanswered start or renewal.
     failures: Counter[JobId] = field(default_factory=Counter)  # By job, since the last success.
@@ -125,7 +137,7 @@
 
         The reasons appear in the log. "leaves" means that it drains or has left, "unreachable" that
         it does not answer or its clock is not known yet, "unaccounted" that it is not reconciled or
-        runs an unknown task, and "shunned" that it is suspended.
+        runs an unknown task, and "suspended" that it is.
         """
         if self.has_left or self.is_draining:
             return "leaves"
@@ -134,7 +146,7 @@
         if not self.is_reconciled or self.unknown_count:
             return "unaccounted"
         if now < self.suspended_until:
-            return "shunned"
+            return "suspended"
         if now - self.last_heartbeat_at >= HEARTBEAT_TIMEOUT_S:
             return "silent"
         # After a suspension, one task must succeed on the worker before others are placed there.
@@ -183,30 +195,38 @@
 
     def suspend_as_silent(self, now: float) -> None:
         """Suspend the worker for unanswered orders."""
-        self.suspended_until = max(self.suspended_until, now + UNANSWERED_SUSPENSION_S)
-        self.is_suspended_as_silent = True
+        ends_at = max(self.suspended_until, now + UNANSWERED_SUSPENSION_S)
+        self._suspend_until(ends_at, SuspensionCause.ORDERS_UNANSWERED, now)
 
-    def suspend(self, now: float) -> float:
-        """Suspend the worker with exponential backoff; return the duration in seconds."""
+    def suspend(self, now: float, cause: SuspensionCause) -> None:
+        """Suspend the worker with exponential backoff."""
         suspension_s: float = min(
             SUSPENSION_MAX_S, SUSPENSION_BASE_S * 2.0 ** min(self.consecutive_suspensions, 8)
         )
         self.consecutive_suspensions += 1
-        self.suspended_until = now + suspension_s
-        self.is_suspended_as_silent = False
-        return suspension_s
+        self._suspend_until(now + suspension_s, cause, now)
+
+    def _suspend_until(self, ends_at: float, cause: SuspensionCause, now: float) -> None:
+        self.suspended_until = ends_at
+        self.suspension_cause = cause
+        logger.warning(
+            "worker suspended",
+            worker=self.id,
+            cause=cause.value,
+            suspended_s=round(ends_at - now, 3),
+            unanswered_orders=self.consecutive_unanswered_orders,
+            failed_tasks=sum(self.failures.values()),
+        )
 
-    def record_end(self, job: JobId, kind: jobs_pb2.EndKind.ValueType, now: float) -> bool:
-        """Update health from a task end; return whether it suspends the worker."""
+    def record_end(self, job: JobId, kind: jobs_pb2.EndKind.ValueType, now: float) -> None:
+        """Update health from a task end, which may suspend the worker."""
         if kind == jobs_pb2.END_DONE:
             self.failures.clear()
             self.consecutive_suspensions = 0
         elif kind == jobs_pb2.END_FAILED:
             self.failures[job] += 1
             if is_worker_suspect(self.failures):
-                self.suspend(now)
-                return True
-        return False
+                self.suspend(now, SuspensionCause.TASKS_FAILED)
 
 
 class Fleet:
@@ -235,22 +255,23 @@
         """Return whether any worker recently answered again after unanswered calls."""
         return any(now - worker.recovered_at < LATE_ORDER_WINDOW_S for worker in self)
 
-    def suspend_if_silent(self, worker: FleetWorker, now: float) -> bool:
+    def suspend_if_silent(self, worker: FleetWorker, now: float) -> None:
         """Suspend a worker that leaves more orders unanswered than the network explains.
 
-        Returns whether it was suspended. Only a part of the fleet is suspended at once for this.
+        Only a part of the fleet is suspended at once for this.
         """
         unanswered = worker.consecutive_unanswered_orders
         if unanswered < MIN_UNANSWERED:
-            return False
+            return
         loss = compute_network_loss((w.answer_counts for w in self if w is not worker), now)
         if unanswered < count_suspicious(loss):
-            return False
-        silent = sum(w.is_suspended_as_silent and now < w.suspended_until for w in self)
-        if silent >= max(1, MAX_SUSPENDED_FRACTION * len(self)):
-            return False
-        worker.suspend_as_silent(now)
-        return True
+            return
+        silent = sum(
+            w.suspension_cause is SuspensionCause.ORDERS_UNANSWERED and now < w.suspended_until
+            for w in self
+        )
+        if silent < max(1, MAX_SUSPENDED_FRACTION * len(self)):
+            worker.suspend_as_silent(now)
 
     def remove(self, worker_id: str) -> None:
         """Remove a worker."""
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -112,17 +112,11 @@
         worker = placement.worker
         now = self._timers.now()
         worker.record_unanswered_order(now)
-        is_suspended = self._fleet.suspend_if_silent(worker, now)
+        self._fleet.suspend_if_silent(worker, now)
         if isinstance(error, AnswerTimeoutError):
             worker.lease.record_unanswered(sent_at=placement.placed_at, seconds=self._lease_s)
         self._metrics.count_retry(RetryReason.START_UNANSWERED)
-        logger.warning(
-            "start unanswered",
-            job=placement.key[0],
-            worker=worker.id,
-            why=str(error),
-            worker_paused=is_suspended,
-        )
+        logger.warning("start unanswered", job=placement.key[0], worker=worker.id, why=str(error))
         self.stop(placement, reason="its start order was not answered")
 
     def _handle_rejected(self, placement: Placement, outcome: OrderOutcome) -> None:
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -18,6 +18,7 @@
     JobTaskKey,
     Placement,
     PlacementPhase,
+    SuspensionCause,
 )
 from .gateway import ActiveTask
 from .open_jobs import OpenJobs
@@ -124,7 +125,7 @@
         elif all(is_stuck(member, now) for member in unit.placements.values()):
             worker = placement.worker
             logger.warning("task stands still", job=placement.key[0], worker=worker.id)
-            worker.suspend(now)
+            worker.suspend(now, SuspensionCause.TASK_STUCK)
             unit.avoided.add(worker.id)
             self._orders.stop(placement, reason="it is stuck: it uses almost no processor time")
 
@@ -143,10 +144,7 @@
                 worker=placement.worker.id,
                 ran_s=round(now - placement.placed_at, 3),
             )
-        if placement.worker.record_end(placement.key[0], kind, now):
-            logger.warning(
-                "worker shunned", worker=placement.worker.id, why="consecutive task failures"
-            )
+        placement.worker.record_end(placement.key[0], kind, now)
         if kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE):
             unit = self._jobs.find_unit(placement.key)
             if unit is not None:
