Keep the cause of a longer suspension when a worker leaves orders unanswered

A worker that was out for failed tasks counted as silent for the rest of that time once two orders that were in flight got no answer, and so took a place in the bound on silent workers. Found by reading the change; the scenarios of suspension pass as before.

--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -194,9 +194,10 @@
         self.answer_counts.record(is_answered=False, now=now)
 
     def suspend_as_silent(self, now: float) -> None:
-        """Suspend the worker for unanswered orders."""
-        ends_at = max(self.suspended_until, now + UNANSWERED_SUSPENSION_S)
-        self._suspend_until(ends_at, SuspensionCause.ORDERS_UNANSWERED, now)
+        """Suspend the worker for unanswered orders, unless it is suspended for longer."""
+        ends_at = now + UNANSWERED_SUSPENSION_S
+        if ends_at > self.suspended_until:
+            self._suspend_until(ends_at, SuspensionCause.ORDERS_UNANSWERED, now)
 
     def suspend(self, now: float, cause: SuspensionCause) -> None:
         """Suspend the worker with exponential backoff."""
