Send a start order that gets no answer again before giving it up

What callers saw where orders get no answer: one lost answer broke a whole gang, as its member was stopped and all began anew, also where the start had taken effect. Hypothesis: the same order, sent again with the same attempt, costs one call where a stop and a new placement cost three and the work done. The contract allows it: a start returns 200 also if that run is already there, and a run that ended or was stopped there is rejected, so a late copy has no effect. Change: an unanswered start order is sent again after its 0.3 s, up to four times in all; it is given up as before (stop, then anew) after that, once its worker is suspended, or once its job ends. A rejection of a repeated order releases nothing, as the copy before may run. Ruled out: asking for the worker's list in between (one call more, and then still a start). Tests: a first order that is carried out unanswered, or 4 s late, for a task of 1 s and of 6 s: each task starts once. Two of the four failed before (two starts where the answer was lost). The scenario that a lost order is given up within 0.35 s passes unchanged, as two orders to one worker are lost there.

--- a/features/job_faults.feature
+++ b/features/job_faults.feature
@@ -115,6 +115,20 @@
     When the cell runs for 12 seconds
     Then every accepted job succeeded
 
+  Scenario Outline: A start order that is <fault> is sent again, and its task of <seconds> seconds starts once
+    Given a cell of 3 replicas whose leader sends orders to 1 workers
+    When a task of <seconds> seconds is submitted, and its first start order is <fault>
+    And the cell runs for 10 seconds
+    Then every accepted job succeeded
+    And each task started once
+
+    Examples:
+      | fault                   | seconds |
+      | carried out unanswered  | 1       |
+      | carried out unanswered  | 6       |
+      | carried out late        | 1       |
+      | carried out late        | 6       |
+
   # An operator who sees few waiting jobs would take the queue for served.
   Scenario: Jobs whose start orders no worker has answered still count as waiting
     Given a cell of 3 replicas whose leader sends orders to 2 workers
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -709,6 +709,20 @@
     cell.fleet.workers[0].late_call_fraction = 0.0
 
 
+@when("a task of {seconds:d} seconds is submitted, and its first start order is {fault}")
+def when_first_start_lost(context, seconds, fault):
+    cell = context.cell
+    worker = cell.fleet.workers[0]
+    if fault == "carried out late":
+        worker.late_call_fraction = 1.0
+    else:
+        worker.loses_answers = True
+    submit_job(context, make_plan(make_step(1), run_s=seconds))
+    context.run(cell.clock.advance(0.1))
+    worker.late_call_fraction = 0.0
+    worker.loses_answers = False
+
+
 @then("each of these orders is followed by a stop order within {seconds:f} seconds")
 def then_stopped(context, seconds):
     context.run(context.cell.clock.advance(seconds - 0.1))
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -145,7 +145,7 @@
             return "unreachable"
         if not self.is_reconciled or self.unknown_count:
             return "unaccounted"
-        if now < self.suspended_until:
+        if self.is_suspended(now):
             return "suspended"
         if now - self.last_heartbeat_at >= HEARTBEAT_TIMEOUT_S:
             return "silent"
@@ -158,6 +158,10 @@
         """Return whether tasks may be started on the worker."""
         return not self.find_unusable_reason(now)
 
+    def is_suspended(self, now: float) -> bool:
+        """Return whether the worker is suspended."""
+        return now < self.suspended_until
+
     def add(self, placement: Placement) -> None:
         """Reserve capacity for a placement."""
         self.placements[placement.attempt_key] = placement
@@ -268,7 +272,7 @@
         if unanswered < count_suspicious(loss):
             return
         silent = sum(
-            w.suspension_cause is SuspensionCause.ORDERS_UNANSWERED and now < w.suspended_until
+            w.suspension_cause is SuspensionCause.ORDERS_UNANSWERED and w.is_suspended(now)
             for w in self
         )
         if silent < max(1, MAX_SUSPENDED_FRACTION * len(self)):
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -12,6 +12,7 @@
 from .gateway import (
     AnswerTimeoutError,
     NoDefiniteAnswerError,
+    OrderAnswer,
     OrderOutcome,
     StartOrder,
     StopOrder,
@@ -21,6 +22,7 @@
 
 ORDER_TIMEOUT_S = 0.3  # A healthy worker answers within milliseconds, or after one retransmission.
 STOP_RETRY_DELAY_S = 0.3  # Also while the leader lease has lapsed.
+MAX_START_SENDS = 4  # Of one attempt; a gang waits 3 s for the last of its members.
 
 logger = get_logger(__name__)
 
@@ -80,44 +82,65 @@
         self._group.start_soon(self._send_start, placement, order)
 
     async def _send_start(self, placement: Placement, order: StartOrder) -> None:
+        """Send a start order, again while it is unanswered: a repeated one has no effect."""
         worker = placement.worker
-        # The process may have been paused since the start was planned.
-        if not self._may_act():
-            self._handle_rejected(placement, OrderOutcome.NOT_SENT)
-            return
-        try:
-            answer = await self._gateway.start(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
-        except WorkerReplacedError:
-            worker.has_left = True
-            self._wake_session(worker.id)
-            return
-        except NoDefiniteAnswerError as error:
-            self._handle_unanswered(placement, error)
+        for number in range(MAX_START_SENDS):
+            is_repeated = number > 0
+            # The process may have been paused since the start was planned.
+            if not self._may_act():
+                if not is_repeated:
+                    self._handle_rejected(placement, OrderOutcome.NOT_SENT)
+                    return
+                break
+            sent_at = self._timers.now()
+            try:
+                answer = await self._gateway.start(
+                    worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S
+                )
+            except WorkerReplacedError:
+                worker.has_left = True
+                self._wake_session(worker.id)
+                return
+            except NoDefiniteAnswerError as error:
+                self._record_unanswered(placement, error, sent_at=sent_at)
+                is_starting = placement.phase is PlacementPhase.STARTING
+                if not is_starting or worker.is_suspended(self._timers.now()):
+                    break
+                continue
+            self._handle_answer(placement, answer, is_repeated=is_repeated)
             return
-        now = self._timers.now()
+        # Prevents an unanswered order from being carried out later.
+        self.stop(placement, reason="its start order was not answered")
+
+    def _handle_answer(
+        self, placement: Placement, answer: OrderAnswer, *, is_repeated: bool
+    ) -> None:
+        worker, now = placement.worker, self._timers.now()
         worker.record_answer(now)
         if answer.clock_ms is not None:
             worker.lease.record_clock(answer.clock_ms, received_at=now)
-        if answer.outcome is not OrderOutcome.ACCEPTED:
+        if answer.outcome is OrderOutcome.ACCEPTED:
+            self._on_accepted(placement)
+            if placement.phase is PlacementPhase.STARTING:
+                placement.phase = PlacementPhase.RUNNING
+                placement.must_be_listed_since = now
+            self._wake_session(worker.id)
+        elif is_repeated:
+            # The unanswered order before it may have had effect.
+            self.stop(placement, reason=f"a repeated start order was {answer.outcome.value}")
+        else:
             self._handle_rejected(placement, answer.outcome)
-            return
-        self._on_accepted(placement)
-        if placement.phase is PlacementPhase.STARTING:
-            placement.phase = PlacementPhase.RUNNING
-            placement.must_be_listed_since = now
-        self._wake_session(worker.id)
-
-    def _handle_unanswered(self, placement: Placement, error: NoDefiniteAnswerError) -> None:
-        """Send a stop order, so that the unanswered start is not carried out later."""
-        worker = placement.worker
-        now = self._timers.now()
+
+    def _record_unanswered(
+        self, placement: Placement, error: NoDefiniteAnswerError, *, sent_at: float
+    ) -> None:
+        worker, now = placement.worker, self._timers.now()
         worker.record_unanswered_order(now)
         self._fleet.suspend_if_silent(worker, now)
         if isinstance(error, AnswerTimeoutError):
-            worker.lease.record_unanswered(sent_at=placement.placed_at, seconds=self._lease_s)
+            worker.lease.record_unanswered(sent_at=sent_at, seconds=self._lease_s)
         self._metrics.count_retry(RetryReason.START_UNANSWERED)
         logger.warning("start unanswered", job=placement.key[0], worker=worker.id, why=str(error))
-        self.stop(placement, reason="its start order was not answered")
 
     def _handle_rejected(self, placement: Placement, outcome: OrderOutcome) -> None:
         """Release the capacity of a start that certainly had no effect."""
