Log which attempts were lost with a worker, and a change of a worker's capacity

Neither could be told from the log: `tasks lost` had only a count, so that one task on the trail of several lost workers did not stand out, and a heartbeat that names another capacity than the one in use left no line.

--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -96,6 +96,7 @@
     capacity: Amounts
     id: str = field(init=False)
     free: Amounts = field(init=False)  # Capacity that is not reserved.
+    announced_capacity: Amounts = field(init=False)  # In the last heartbeat.
     lease: WorkerLease = field(default_factory=WorkerLease)
     # All that may run on the worker, also attempts that no open job waits for any more.
     placements: dict[AttemptKey, Placement] = field(default_factory=dict)
@@ -121,6 +122,7 @@
     def __post_init__(self) -> None:
         self.id = self.message.id
         self.free = self.capacity
+        self.announced_capacity = self.capacity
 
     @property
     def endpoint(self) -> WorkerEndpoint:
@@ -176,6 +178,20 @@
             self.unknown_count -= not placement.is_known
         placement.phase = PlacementPhase.ENDED
 
+    def announce_capacity(self, announced: Amounts) -> None:
+        """Log a capacity that differs from the last one announced."""
+        if announced == self.announced_capacity:
+            return
+        logger.warning(
+            "worker capacity changed",
+            worker=self.id,
+            before=str(self.announced_capacity),
+            now=str(announced),
+            used=str(self.capacity),
+            free=str(self.free),
+        )
+        self.announced_capacity = announced
+
     def record_answer(self, now: float) -> None:
         """Record an answer, and its time if it follows an unanswered call.
 
@@ -294,6 +310,8 @@
             return False
         worker.heartbeat_sequence = max(worker.heartbeat_sequence, heartbeat.sequence)
         worker.last_heartbeat_at = now
+        if heartbeat.worker.HasField("capacity"):
+            worker.announce_capacity(make_amounts(heartbeat.worker.capacity))
         if heartbeat.clock_ms:
             worker.lease.record_clock(heartbeat.clock_ms, received_at=now)
         if heartbeat.leaves:
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -37,10 +37,17 @@
 # A worker that has left is assumed to have ended its tasks this long after the session notices it.
 LEAVE_GRACE_S = 0.5
 REMOVE_AFTER_S = 15.0  # Time without heartbeats after which an idle worker is removed.
+MAX_LOGGED_TASKS = 20  # In one log line.
 
 logger = get_logger(__name__)
 
 
+def describe_attempt(placement: Placement) -> str:
+    """Return the job, position, attempt and phase of a placement, for the log."""
+    job, position = placement.key
+    return f"{job}/{position} attempt {placement.attempt} {placement.phase.value}"
+
+
 class SessionOwner(Protocol):
     """Callbacks of a session to the dispatcher."""
 
@@ -231,7 +238,13 @@
         lost = list(self._worker.placements.values())
         if not lost:
             return
-        logger.warning("tasks lost", worker=self._worker.id, count=len(lost), why=reason)
+        logger.warning(
+            "tasks lost",
+            worker=self._worker.id,
+            count=len(lost),
+            why=reason,
+            attempts=[describe_attempt(placement) for placement in lost[:MAX_LOGGED_TASKS]],
+        )
         await self._report_lost(lost)
 
     async def _report_lost(self, lost: list[Placement]) -> None:
