Add a failing test: a task that crashes its workers is started without limit

In the stand-ins a deadly task crashes its worker 0.2 s after its start, and the worker is back as another incarnation 2 s later. Five scenarios break the new rule `attempts` each time (a third start after three crashes): a single task, a gang, a leader lost after each crash, a leader lost between two crashes, workers that return after their lease. Two more hold on this code and have to go on holding: a task whose workers are cut off four times, and jobs on a fleet in which every worker crashes.

--- /dev/null
+++ b/features/crashes.feature
@@ -0,0 +1,59 @@
+Feature: Tasks that crash their workers are given up, and no others are
+
+  # In every scenario, features/lib/called_fleet.py checks the rules of job_faults.feature, and that a
+  # task is started at most twice once three workers have crashed under it. A crashed worker is back
+  # as another incarnation after 2 s.
+  Scenario: A task that crashes each worker that starts it is given up after at most 3 crashes
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And a job whose only task crashes its worker
+    And 30 jobs of 2 tasks over 15 seconds
+    When the cell runs for 30 seconds
+    Then the job of the deadly task failed after at most 3 crashes
+    And every accepted job but the first succeeded
+
+  Scenario: A gang with a member that crashes its worker is given up after at most 3 crashes
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And a gang of 4 tasks, one of which crashes its worker
+    And 30 jobs of 2 tasks over 15 seconds
+    When the cell runs for 40 seconds
+    Then the job of the deadly task failed after at most 3 crashes
+    And every accepted job but the first succeeded
+
+  # The leader is lost between a crash and its discovery each time, which may hide that crash.
+  Scenario: A task that crashes its workers is given up although the leader is lost after 3 of the crashes
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And a job whose only task crashes its worker
+    When the leader is lost right after each of the first 3 crashes
+    And the cell runs for 40 seconds
+    Then the job of the deadly task failed after at most 5 crashes
+
+  Scenario: A change of leader does not forget the crashes that are known
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And a job whose only task crashes its worker
+    When the leader is lost once the next attempt of the deadly task runs
+    And the cell runs for 40 seconds
+    Then the job of the deadly task failed after at most 3 crashes
+
+  # The lease of a worker that is silent is over after 4 s, and its tasks are placed anew.
+  Scenario: Crashes are counted of workers that return after their tasks were placed anew
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And crashed workers that return after 8 seconds
+    And a job whose only task crashes its worker
+    When the cell runs for 60 seconds
+    Then the job of the deadly task failed after at most 4 crashes
+
+  # Tasks that are lost with a worker that is cut off have not crashed it.
+  Scenario: A task whose workers are cut off 4 times is not given up
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And a job of 1 tasks of 6 seconds
+    When the worker of the task is cut off for 6 seconds, 4 times
+    And the cell runs for 20 seconds
+    Then every accepted job succeeded
+
+  # One after another, every worker crashes once; each task may meet more than one of the crashes.
+  Scenario: Jobs succeed although all workers crash, two every 3 seconds
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And 30 jobs of 4 tasks over 15 seconds
+    When 2 workers crash every 3 seconds, 5 times
+    And the cell runs for 20 seconds
+    Then every accepted job succeeded
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -34,6 +34,10 @@
 CAPACITY = Amounts(processors=8000, memory_mb=16384)
 TICK_S = 0.05
 STOP_DURATION_S = 0.3
+DEADLY_AFTER_S = 0.2  # From the start of a deadly task to the crash of its worker.
+RETURN_S = 2.0  # From a crash under a deadly task to the next incarnation.
+MAX_CRASHES = 3  # Workers that may crash under a task before its starts count.
+MAX_STARTS_AFTER_CRASHES = 2  # Of such a task.
 NETWORK_LATENCY_S = 0.003
 HEARTBEAT_INTERVAL_S = 1.5
 LATE_DELIVERY_S = 4.0
@@ -62,6 +66,8 @@
     failures: int = 0  # Number of attempts of each task that fail.
     # Gang member that finishes its part at once and then waits for the others, using no processor.
     idle_index: int | None = None
+    # Tasks of the first step, by index, that crash each worker that starts them.
+    deadly_indexes: frozenset[int] = frozenset()
 
 
 class CalledWorker:
@@ -191,6 +197,8 @@
     def crash(self) -> None:
         """Stop and lose all tasks; another incarnation may take over the address."""
         self.is_up = False
+        for task in self.runs:
+            self.fleet.crashes[task] += 1
         self.runs.clear()
         self.fleet.allow_reruns(self)
 
@@ -268,6 +276,7 @@
     cancellation: no task starts long after its job was cancelled.
     step order: a task starts only after the steps on which its step depends are done.
     capacity: the tasks on a worker fit in its capacity.
+    attempts: a task is started at most twice once three workers have crashed under it.
     """
 
     rules: list[str] = field(default_factory=list)
@@ -288,6 +297,9 @@
         self.must_not_rerun: set[TaskRef] = set()
         self.ever_done: set[TaskRef] = set()  # Tasks of which at least one attempt was done.
         self.failed: dict[TaskRef, int] = defaultdict(int)  # Number of attempts that failed.
+        self.crashes: dict[TaskRef, int] = defaultdict(int)  # Workers that crashed under a task.
+        self.starts_after_crashes: dict[TaskRef, int] = defaultdict(int)
+        self.return_s = RETURN_S
         self.broken = BrokenRules()
         self.rng = random.Random(7)
         # Called with "start" or "end", the worker and the task.
@@ -367,9 +379,19 @@
             except Exception as error:  # The leader may have failed or stepped down meanwhile.
                 self.cell.errors.append(error)
 
-    def replace(self, worker: CalledWorker) -> CalledWorker:
-        """Crash a worker and start another incarnation at its address."""
+    async def _crash_under(self, worker: CalledWorker, task: TaskRef) -> None:
+        """Crash the worker of a deadly task, which comes back as another incarnation."""
+        await self.timers.sleep(DEADLY_AFTER_S)
+        if not worker.is_up or task not in worker.runs:
+            return
         worker.crash()
+        await self.timers.sleep(self.return_s)
+        self.replace(worker)
+
+    def replace(self, worker: CalledWorker) -> CalledWorker:
+        """Crash a worker, unless it is down, and start another incarnation at its address."""
+        if worker.is_up:
+            worker.crash()
         self.workers.remove(worker)
         incarnation = int(worker.id.rpartition("-")[2]) + 1
         successor = CalledWorker(self, worker.number, incarnation=incarnation)
@@ -382,6 +404,9 @@
         self._check_start(worker, order)
         self.starts[task].append((worker.id, order.attempt))
         step = plan.spec.steps[task.step]
+        if task.step == 0 and task.index in plan.deadly_indexes:
+            self._count_deadly_start(task)
+            self.cell.start_soon(self._crash_under, worker, task)
         if worker.fails_everything:
             run.ends_at, run.kind = run.started_at + 0.1, jobs_pb2.END_FAILED
         elif worker.hangs_everything:
@@ -396,6 +421,13 @@
         for hook in list(self.hooks):
             hook("start", worker, task)
 
+    def _count_deadly_start(self, task: TaskRef) -> None:
+        if self.crashes[task] < MAX_CRASHES:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            self._record_broken_rule("attempts", f"{task} starts after {self.crashes[task]} crashes")
+
     def _start_gang(self, task: TaskRef, attempt: int, plan: Plan, size: int) -> None:
         members = [
             run
--- /dev/null
+++ b/features/steps/crash_steps.py
@@ -0,0 +1,119 @@
+from behave import given, then, when
+
+from dewspindle._internal.schema import jobs_pb2
+from features.lib.stepping import advance
+from features.steps.job_steps import make_plan, make_step, submit_job
+
+DISCOVERY_S = 20.0  # Longest time from a crash to the next start of the task.
+
+
+def submit_deadly_job(context, step):
+    plan = make_plan(step)
+    plan.deadly_indexes = frozenset({0})
+    submit_job(context, plan)
+
+
+@given("a job whose only task crashes its worker")
+def given_deadly_job(context):
+    submit_deadly_job(context, make_step(1))
+
+
+@given("a gang of {count:d} tasks, one of which crashes its worker")
+def given_deadly_gang(context, count):
+    submit_deadly_job(context, make_step(count, gang=True))
+
+
+@given("crashed workers that return after {seconds:d} seconds")
+def given_late_return(context, seconds):
+    context.cell.fleet.return_s = float(seconds)
+
+
+def count_crashes(context):
+    """Return how many workers crashed under the first task of the first job."""
+    fleet = context.cell.fleet
+    job = min(fleet.plans)
+    return max((count for task, count in fleet.crashes.items() if task.job == job), default=0)
+
+
+async def wait_for_crashes(context, count):
+    found = await context.cell.clock.advance_until(
+        lambda: count_crashes(context) >= count, seconds=DISCOVERY_S
+    )
+    assert found, f"{count_crashes(context)} crashes"
+
+
+async def lose_leader(context):
+    """Lose the leader, and restart it once there is another one."""
+    cell = context.cell
+    lost = cell.leader
+    lost.kill()
+    await cell.wait_for_leader()
+    cell.heal()
+
+
+@when("the leader is lost right after each of the first {count:d} crashes")
+def when_leader_lost_after_crashes(context, count):
+    async def lose_leaders():
+        for number in range(1, count + 1):
+            await wait_for_crashes(context, number)
+            await lose_leader(context)
+
+    context.run(lose_leaders())
+
+
+@when("the leader is lost once the next attempt of the deadly task runs")
+def when_leader_lost_between(context):
+    fleet = context.cell.fleet
+    job = min(fleet.plans)
+
+    def runs_again():
+        tasks = [task for worker in fleet.workers for task in worker.runs]
+        return count_crashes(context) == 1 and any(task.job == job for task in tasks)
+
+    async def lose():
+        assert await context.cell.clock.advance_until(runs_again, seconds=DISCOVERY_S)
+        await lose_leader(context)
+
+    context.run(lose())
+
+
+@when("the worker of the task is cut off for {seconds:d} seconds, {count:d} times")
+def when_cut_off_again(context, seconds, count):
+    fleet = context.cell.fleet
+
+    async def cut_off():
+        for _ in range(count):
+            assert await context.cell.clock.advance_until(
+                lambda: any(worker.runs for worker in fleet.workers), seconds=DISCOVERY_S
+            )
+            worker = next(worker for worker in fleet.workers if worker.runs)
+            worker.is_cut_off = True
+            await context.cell.clock.advance(seconds)
+            worker.is_cut_off = False
+
+    context.run(cut_off())
+
+
+@when("{count:d} workers crash every {seconds:d} seconds, {times:d} times")
+def when_workers_crash(context, count, seconds, times):
+    fleet = context.cell.fleet
+
+    async def crash():
+        for number in range(times):
+            size = len(fleet.workers)
+            for worker in sorted(fleet.workers, key=lambda worker: worker.number)[
+                count * number % size : count * number % size + count
+            ]:
+                fleet.replace(worker)
+            await context.cell.clock.advance(seconds)
+
+    context.run(crash())
+
+
+@then("the job of the deadly task failed after at most {count:d} crashes")
+def then_deadly_failed(context, count):
+    cell = context.cell
+    job = min(cell.fleet.plans)
+    crashes = count_crashes(context)
+    assert cell.get_state(job) == jobs_pb2.JOB_FAILED, (cell.get_state(job), crashes)
+    assert 1 < crashes <= count, crashes
