--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -426,7 +426,9 @@
             return
         self.starts_after_crashes[task] += 1
         if self.starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
-            self._record_broken_rule("attempts", f"{task} starts after {self.crashes[task]} crashes")
+            self._record_broken_rule(
+                "attempts", f"{task} starts after {self.crashes[task]} crashes"
+            )
 
     def _start_gang(self, task: TaskRef, attempt: int, plan: Plan, size: int) -> None:
         members = [
