Count the workers that crash under a task, and give it up

What callers saw: nothing yet in the users' reports.

Cause: what is lost with a worker was committed as `lapsed`, and only `failed` ends count for the limit on attempts (first hypothesis). Class of fault: an end whose cause is outside the task counted for nothing, whatever the task did.

Change - A crash is known where another incarnation answers at the address of a worker that had not said that it leaves; also later than the end of its lease. It is committed with the task's end, so the next leader knows it. - scheduling/crash_blame.py decides: given up after two crashes as the newest task of its worker, three if it was the newest in the last one, four in any case. Suspect tasks are placed apart from each other, on the emptiest workers. - A lasting task that ran for over 10 s is not blamed; a start order that found no connection has not run.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -57,3 +57,25 @@
     When 2 workers crash every 3 seconds, 5 times
     And the cell runs for 20 seconds
     Then every accepted job succeeded
+
+  # Most crashes hit other jobs too; a task that starts after the deadly one may be blamed in its place.
+  Scenario Outline: Of many jobs only those with a task that crashes its worker after <delay> ms fail
+    Given a cell of 3 replicas whose leader sends orders to 12 workers
+    And deadly tasks that crash their workers after <delay> ms
+    And 60 jobs over 20 seconds, of which each 10th has a deadly task
+    When the cell runs for 60 seconds
+    Then just the jobs with a deadly task failed, and all others succeeded
+
+    Examples:
+      | delay |
+      | 0     |
+      | 20    |
+      | 300   |
+
+  # The worker still counts as usable, as its last heartbeat is recent.
+  Scenario: A task whose start orders found no worker to connect to is not blamed for the crash
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    When a worker is down for 2 seconds, and 16 single tasks are submitted meanwhile
+    And the cell runs for 20 seconds
+    Then every accepted job succeeded
+    And no crash is counted for any task
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -23,6 +23,7 @@
     StartOrder,
     StopOrder,
     WorkerEndpoint,
+    WorkerNotConnectedError,
     WorkerReplacedError,
 )
 from dewspindle._internal.models.jobs import TaskRef
@@ -300,6 +301,7 @@
         self.crashes: dict[TaskRef, int] = defaultdict(int)  # Workers that crashed under a task.
         self.starts_after_crashes: dict[TaskRef, int] = defaultdict(int)
         self.return_s = RETURN_S
+        self.deadly_after_s = DEADLY_AFTER_S
         self.broken = BrokenRules()
         self.rng = random.Random(7)
         # Called with "start" or "end", the worker and the task.
@@ -321,7 +323,9 @@
                 if worker.is_cut_off:
                     break
                 return worker
-        raise NoDefiniteAnswerError("the worker is cut off or down")
+        if any(w.address == endpoint.address and w.is_up for w in self.workers):
+            raise NoDefiniteAnswerError("the worker is cut off")
+        raise WorkerNotConnectedError("the worker is down")
 
     async def deliver_late(self, worker: CalledWorker, call: Callable[[CalledWorker], Any]) -> None:
         """Execute a start or stop after its sender has stopped waiting; drop a lease renewal."""
@@ -381,7 +385,7 @@
 
     async def _crash_under(self, worker: CalledWorker, task: TaskRef) -> None:
         """Crash the worker of a deadly task, which comes back as another incarnation."""
-        await self.timers.sleep(DEADLY_AFTER_S)
+        await self.timers.sleep(self.deadly_after_s)
         if not worker.is_up or task not in worker.runs:
             return
         worker.crash()
--- a/features/lib/known_faults.py
+++ b/features/lib/known_faults.py
@@ -62,11 +62,3 @@
             line = json.dumps({"location": str(scenario.location), "sign": sign})
             with Path(path).open("a") as file:
                 file.write(f"{line}\n")
-
-
-@shows_fault("crashes-not-counted")
-def shows_uncounted_crashes(context: Any, events: set[str]) -> bool:
-    """Return whether a task that crashes its workers was started without limit."""
-    fleet = getattr(getattr(context, "cell", None), "fleet", None)
-    rules = fleet.broken.rules if fleet is not None else []
-    return bool(rules) and all(rule.startswith("attempts ") for rule in rules)
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -1,8 +1,13 @@
 from behave import given, then, when
 
 from dewspindle._internal.schema import jobs_pb2
-from features.lib.stepping import advance
-from features.steps.job_steps import make_plan, make_step, submit_job
+from features.steps.job_steps import (
+    allocate_job_id,
+    make_plan,
+    make_step,
+    start_in_background,
+    submit_job,
+)
 
 DISCOVERY_S = 20.0  # Longest time from a crash to the next start of the task.
 
@@ -28,6 +33,36 @@
     context.cell.fleet.return_s = float(seconds)
 
 
+@given("deadly tasks that crash their workers after {milliseconds:d} ms")
+def given_deadly_after(context, milliseconds):
+    context.cell.fleet.deadly_after_s = milliseconds / 1000
+
+
+@given("{count:d} jobs over {seconds:d} seconds, of which each {nth:d}th has a deadly task")
+def given_many_deadly_jobs(context, count, seconds, nth):
+    async def submit_all():
+        for number in range(count):
+            plan = make_plan(make_step(2), run_s=1.0)
+            if number % nth == 0:
+                plan.deadly_indexes = frozenset({0})
+            context.cell.start_soon(context.cell.submit, allocate_job_id(context), plan)
+            await context.cell.fleet.timers.sleep(seconds / count)
+
+    start_in_background(context, submit_all)
+
+
+@then("just the jobs with a deadly task failed, and all others succeeded")
+def then_just_deadly_failed(context):
+    cell = context.cell
+    wrong = {}
+    for job in sorted(cell.fleet.accepted):
+        is_deadly = bool(cell.fleet.plans[job].deadly_indexes)
+        expected = jobs_pb2.JOB_FAILED if is_deadly else jobs_pb2.JOB_SUCCEEDED
+        if cell.get_state(job) != expected:
+            wrong[job] = cell.get_state(job)
+    assert not wrong, (len(cell.fleet.accepted), wrong)
+
+
 def count_crashes(context):
     """Return how many workers crashed under the first task of the first job."""
     fleet = context.cell.fleet
@@ -117,3 +152,27 @@
     crashes = count_crashes(context)
     assert cell.get_state(job) == jobs_pb2.JOB_FAILED, (cell.get_state(job), crashes)
     assert 1 < crashes <= count, crashes
+
+
+@when(
+    "a worker is down for {seconds:d} seconds, and {count:d} single tasks are submitted meanwhile"
+)
+def when_down_while_submitted(context, seconds, count):
+    fleet = context.cell.fleet
+    worker = fleet.workers[0]
+
+    async def stay_down():
+        worker.crash()
+        await context.cell.clock.advance(seconds)
+        fleet.replace(worker)
+
+    for _ in range(count):
+        submit_job(context, make_plan(make_step(1)))
+    context.run(stay_down())
+
+
+@then("no crash is counted for any task")
+def then_no_crash(context):
+    jobs = context.cell.leader.replica.context.view.state.job_store.jobs.values()
+    counted = {job.id: job.count_crashes(0) for job in jobs if job.count_crashes(0)}
+    assert not counted, counted
--- a/src/dewspindle/_internal/cell/job_changes.py
+++ b/src/dewspindle/_internal/cell/job_changes.py
@@ -58,7 +58,9 @@
             continue
         if job.has_succeeded:
             _end_job(state, job, JOB_SUCCEEDED)
-        elif job.has_exhausted_attempts(end.position):
+        elif job.has_exhausted_attempts(end.position) or (
+            end.gives_up and not job.is_done(end.position)
+        ):
             _end_job(state, job, JOB_FAILED)
     return Result(status=200, count=count)
 
--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -67,11 +67,28 @@
         """
         return self._message.tasks.get(position)
 
+    def count_crashes(self, position: int) -> int:
+        """Return how many workers are known to have crashed under the task at a position."""
+        progress = self.get_progress(position)
+        return 0 if progress is None else progress.crashes
+
+    def count_crashes_as_newest(self, position: int) -> int:
+        """Return how many of the crashes came while no later task ran on the worker."""
+        progress = self.get_progress(position)
+        return 0 if progress is None else progress.crashes_as_newest
+
     def apply_end(self, end: jobs_pb2.TaskEnd) -> bool:
-        """Record a task end and return whether it was new."""
+        """Record a task end, or a crash that ended it, and return whether it was new."""
         progress = self._message.tasks[end.position]
+        is_new_crash = (
+            end.kind == jobs_pb2.END_CRASHED and end.attempt > progress.last_crashed_attempt
+        )
+        if is_new_crash:
+            progress.last_crashed_attempt = end.attempt
+            progress.crashes += 1
+            progress.crashes_as_newest += end.was_newest
         if end.attempt <= progress.last_ended_attempt:
-            return False
+            return is_new_crash
         progress.last_ended_attempt = end.attempt
         unit_progress = self._message.tasks[self._layout.get_unit_position(end.position)]
         if end.checkpoint:
--- a/src/dewspindle/_internal/exceptions.py
+++ b/src/dewspindle/_internal/exceptions.py
@@ -192,3 +192,7 @@
 
     code = "server-unreachable"
     hint = "check the address (for a command, --server) and that the server runs"
+
+
+class ServerNotConnectedError(ServerUnreachableError):
+    """No connection to an HTTP server could be opened, so it received nothing."""
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -76,6 +76,9 @@
     is_lasting: bool = False  # It runs until it is stopped.
     is_stop_ordered: bool = False
     idle_since: float | None = None  # Since when its worker reports almost no CPU usage.
+    is_suspect: bool = False  # A worker has crashed under the task before.
+    has_run: bool = False  # Its worker has confirmed the start.
+    may_have_run: bool = False  # Its start order may have arrived, but was not answered.
 
     @property
     def attempt_key(self) -> AttemptKey:
@@ -106,6 +109,9 @@
     is_draining: bool = False
     drain_ends_at: float = float("inf")
     has_left: bool = False  # It has deregistered, or another incarnation answers at its address.
+    has_crashed: bool = False  # Another incarnation answers, and it had not said that it leaves.
+    # Placements given up when the lease expired, while it is not known whether the worker crashed.
+    lapsed: list[Placement] = field(default_factory=list)
     is_reachable: bool = True
     is_inherited: bool = False  # It was recorded before this term.
     # Its task lists were read since it was added, or its lease has expired since then.
@@ -129,6 +135,11 @@
         """Return the id and address for calls to the worker."""
         return WorkerEndpoint(self.message.id, self.message.address)
 
+    @property
+    def has_suspect(self) -> bool:
+        """Return whether the worker runs a task under which another worker crashed."""
+        return any(placement.is_suspect for placement in self.placements.values())
+
     @property
     def may_hold_inherited_work(self) -> bool:
         """Return whether tasks that an earlier leader started there may be unknown."""
@@ -203,6 +214,12 @@
         self.consecutive_unanswered_orders = 0
         self.missed_renewal = False
 
+    def record_replaced(self) -> None:
+        """Record that another incarnation answers at the worker's address."""
+        if not self.has_left:
+            self.has_left = True
+            self.has_crashed = not self.is_draining
+
     def record_unanswered_order(self, now: float) -> None:
         """Record an unanswered start order."""
         self.consecutive_unanswered_orders += 1
--- a/src/dewspindle/_internal/jobs/gateway.py
+++ b/src/dewspindle/_internal/jobs/gateway.py
@@ -16,6 +16,10 @@
     """The worker did not answer in time; the order may be in transit and its lease begin late."""
 
 
+class WorkerNotConnectedError(NoDefiniteAnswerError):
+    """No connection to the worker could be opened, so an order had no effect."""
+
+
 class WorkerReplacedError(Exception):
     """Another incarnation answers at the worker's address, so this one is gone."""
 
--- a/src/dewspindle/_internal/jobs/open_jobs.py
+++ b/src/dewspindle/_internal/jobs/open_jobs.py
@@ -6,6 +6,7 @@
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
 from ..models.resources import Amounts
+from ..scheduling.crash_blame import CrashHistory
 from ..schema import jobs_pb2
 from .fleet import JobTaskKey
 from .runs import JobRun, UnitRun
@@ -45,6 +46,15 @@
         run = self._runs.get(key[0])
         return run.find_unit(key[1]) if run is not None else None
 
+    def make_crash_history(self, key: JobTaskKey, *, was_newest: bool) -> CrashHistory:
+        """Return the crashes under a task of a known job, together with one that is new."""
+        stored = self._store.jobs[key[0]]
+        return CrashHistory(
+            crashes=stored.count_crashes(key[1]) + 1,
+            crashes_as_newest=stored.count_crashes_as_newest(key[1]) + was_newest,
+            was_newest=was_newest,
+        )
+
     def find_amounts(self, task: TaskRef) -> Amounts | None:
         """Return what a task takes on its worker, also of a job that has ended.
 
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -17,6 +17,7 @@
     StartOrder,
     StopOrder,
     WorkerGateway,
+    WorkerNotConnectedError,
     WorkerReplacedError,
 )
 
@@ -98,10 +99,11 @@
                     worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S
                 )
             except WorkerReplacedError:
-                worker.has_left = True
+                worker.record_replaced()
                 self._wake_session(worker.id)
                 return
             except NoDefiniteAnswerError as error:
+                placement.may_have_run |= not isinstance(error, WorkerNotConnectedError)
                 self._record_unanswered(placement, error, sent_at=sent_at)
                 is_starting = placement.phase is PlacementPhase.STARTING
                 if not is_starting or worker.is_suspended(self._timers.now()):
@@ -176,7 +178,7 @@
             try:
                 answer = await self._gateway.stop(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
             except WorkerReplacedError:
-                worker.has_left = True
+                worker.record_replaced()
                 break
             except NoDefiniteAnswerError as error:
                 worker.answer_counts.record(is_answered=False, now=self._timers.now())
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -1,6 +1,7 @@
 """Selects in each planning round which waiting tasks start on which workers."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from ..cell.jobs import JobStore
@@ -26,6 +27,31 @@
 logger = get_logger(__name__)
 
 
+def has_suspect(worker: FleetWorker, round_: PlanningRound) -> bool:
+    """Return whether a worker runs or gets a task under which another worker crashed."""
+    return worker.has_suspect or worker.id in round_.workers_with_suspect
+
+
+def choose_for_suspect(
+    unit: UnitRun,
+    candidates: list[FleetWorker],
+    round_: PlanningRound,
+    *,
+    score: Callable[[FleetWorker], float | None],
+) -> FleetWorker | None:
+    """Return the worker for a task that may crash it, or None if it fits nowhere.
+
+    Prefers workers without another such task, then those with the fewest tasks.
+    """
+    fitting = [worker for worker in candidates if score(worker) is not None]
+
+    def rank(worker: FleetWorker) -> tuple[bool, bool, int]:
+        is_shared = has_suspect(worker, round_)
+        return (is_shared, worker.id in unit.avoided, len(worker.placements))
+
+    return min(fitting, key=rank, default=None)
+
+
 class JobPlanner:
     """Keeps the steps that wait for capacity and places them in rank order."""
 
@@ -197,12 +223,11 @@
                 continue
             available = [w for w in approved if round_.may_use(w.id, step)]
             admitted = self._select_admitted(step, queue, available, round_)
-            chosen = pack_gang(
-                step.amounts,
-                unit.unit.size,
-                [(worker.id, round_.get_free(worker)) for worker in admitted],
-                limit_per_worker=step.message.max_per_worker,
-            )
+            chosen = None
+            if unit.is_suspect:
+                apart = [worker for worker in admitted if not has_suspect(worker, round_)]
+                chosen = self._pack(step, unit, apart, round_)
+            chosen = chosen or self._pack(step, unit, admitted, round_)
             if chosen is None:
                 self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
@@ -212,10 +237,23 @@
                 for worker_id, count in chosen.items()
                 for _ in range(count)
             }
+            if unit.is_suspect:
+                round_.workers_with_suspect.update(chosen)
             self._start(step, unit, workers, round_)
         if step.waiting:
             self._advice_planner.ask_for_gang(step, queue, round_, approved, rank=rank)
 
+    def _pack(
+        self, step: StepRun, unit: UnitRun, workers: list[FleetWorker], round_: PlanningRound
+    ) -> Counter[str] | None:
+        """Return how many members of a gang each worker gets, or None if they do not all fit."""
+        return pack_gang(
+            step.amounts,
+            unit.unit.size,
+            [(worker.id, round_.get_free(worker)) for worker in workers],
+            limit_per_worker=step.message.max_per_worker,
+        )
+
     def _set_aside_for_gang(
         self,
         step: StepRun,
@@ -268,9 +306,22 @@
             penalty = SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
             return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
 
+        due = [unit for unit in step.waiting.values() if unit.not_before <= round_.now]
+        for unit in due:
+            if not unit.is_suspect:
+                continue
+            worker = choose_for_suspect(unit, candidates, round_, score=score)
+            if worker is None:
+                self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
+                return
+            round_.workers_with_suspect.add(worker.id)
+            if limit:
+                placed[worker.id] += 1
+            self._start(step, unit, {unit.unit.first_position: worker.id}, round_)
+
         queued = CandidateQueue(candidates, score=score)
-        for unit in list(step.waiting.values()):
-            if unit.not_before > round_.now:
+        for unit in due:
+            if unit.is_suspect:
                 continue
             worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
             if worker is None:
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -44,6 +44,7 @@
         self.starts: list[PlannedStart] = []
         self.advice_request_count = 0
         self.waiting_gangs: list[tuple[StepRun, GangWorkers]] = []
+        self.workers_with_suspect: set[str] = set()  # Started in this round.
         self._fleet = fleet
         self._free: dict[str, Amounts] = {}
         self._pools: dict[str, dict[str, FleetWorker]] = {}
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -49,6 +49,12 @@
         """Return whether the unit has succeeded."""
         return self.step.run.stored.is_done(self.unit.first_position)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether a worker has crashed under any of the unit's tasks."""
+        stored = self.step.run.stored
+        return any(stored.count_crashes(position) for position in self.unit.positions)
+
     @property
     def is_waiting(self) -> bool:
         """Return whether the unit still has to run and none of its tasks is placed."""
@@ -74,6 +80,7 @@
             placed_at=now,
             estimate_s=self.step.estimate_s,
             is_lasting=self.step.message.long_running,
+            is_suspect=self.step.run.stored.count_crashes(position) > 0,
         )
         worker.add(placement)
         self.placements[position] = placement
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -81,8 +81,8 @@
     def may_act(self) -> bool:
         """Return whether this replica may act as the leader."""
 
-    def make_lost_end(self, placement: Placement) -> jobs_pb2.TaskEnd:
-        """Return the end of a task that was lost with its worker."""
+    def make_lost_ends(self, lost: list[Placement], *, has_crashed: bool) -> list[jobs_pb2.TaskEnd]:
+        """Return the ends of tasks that were lost with one worker."""
 
     async def remove_worker(self, worker: FleetWorker) -> None:
         """Remove a worker on which nothing runs any more."""
@@ -137,9 +137,7 @@
         while True:
             event = self._wake.event
             if self._is_gone():
-                await self._report_all_lost(
-                    "the worker deregistered or was replaced at its address"
-                )
+                await self._report_gone()
                 await self._owner.remove_worker(self._worker)
                 return
             if not self._needs_renewal():
@@ -153,11 +151,13 @@
                 await self._send_renewal()
             except WorkerReplacedError:
                 logger.warning("worker replaced at its address", worker=self._worker.id)
-                self._worker.has_left = True
+                self._worker.record_replaced()
                 self._left_at = float("-inf")  # Its process has ended, so no grace is needed.
 
     def _is_gone(self) -> bool:
         worker, now = self._worker, self._timers.now()
+        if worker.has_crashed:
+            return True
         if worker.has_left:
             if self._left_at is None:
                 self._left_at = now
@@ -228,14 +228,25 @@
         worker.is_reachable = False
         may_orders_arrive_late = self._owner.may_orders_arrive_late()
         if worker.lease.is_over(self._timers.now(), may_orders_arrive_late=may_orders_arrive_late):
+            worker.lapsed += worker.placements.values()
             await self._report_all_lost("the lease has expired")
             worker.is_reconciled = True
             self._owner.wake_planner()
         await self._timers.sleep(min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._failed_renewals))
 
-    async def _report_all_lost(self, reason: str) -> None:
-        """Report all tasks placed on the worker as lost."""
-        lost = list(self._worker.placements.values())
+    async def _report_gone(self) -> None:
+        """Report all tasks as lost of a worker that has left or crashed."""
+        worker = self._worker
+        if not worker.has_crashed:
+            await self._report_all_lost("the worker deregistered")
+            return
+        # It may have crashed before its lease expired.
+        lapsed, worker.lapsed = worker.lapsed, []
+        await self._report_all_lost("the worker crashed", lapsed=lapsed)
+
+    async def _report_all_lost(self, reason: str, *, lapsed: Iterable[Placement] = ()) -> None:
+        """Report all tasks placed on the worker as lost, and others that were lost before."""
+        lost = [*lapsed, *self._worker.placements.values()]
         if not lost:
             return
         logger.warning(
@@ -248,7 +259,7 @@
         await self._report_lost(lost)
 
     async def _report_lost(self, lost: list[Placement]) -> None:
-        ends = [self._owner.make_lost_end(placement) for placement in lost if placement.is_known]
+        ends = self._owner.make_lost_ends(lost, has_crashed=self._worker.has_crashed)
         for placement in lost:
             self._worker.release(placement)
         await self._reporter.commit(ends)
@@ -261,6 +272,7 @@
         self._failed_renewals = 0
         was_reachable_and_reconciled = worker.is_reachable and worker.is_reconciled
         worker.is_reachable = True
+        worker.lapsed.clear()
         new = [ended for ended in answer.ended if ended.number > self._committed_through]
         ends = self._process_ended(new)
         self._process_active(answer.active)
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -6,6 +6,7 @@
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
 from ..models.resources import NO_RESOURCES, Amounts
+from ..scheduling.crash_blame import may_be_blamed, should_give_up, was_newest
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
@@ -96,6 +97,7 @@
 
     def record_running(self, placement: Placement) -> None:
         """Record that a worker has started a task, so that its job no longer counts as waiting."""
+        placement.has_run = True
         unit = self._jobs.find_unit(placement.key)
         if unit is not None:
             unit.step.run.has_started = True
@@ -154,17 +156,51 @@
         """Return whether this replica may act as the leader."""
         return self._may_act()
 
-    def make_lost_end(self, placement: Placement) -> jobs_pb2.TaskEnd:
-        """Return the end of a task that was lost with its worker."""
-        unit = self._jobs.find_unit(placement.key)
-        self._metrics.count_retry(RetryReason.WORKER_LOST)
-        return jobs_pb2.TaskEnd(
+    def make_lost_ends(self, lost: list[Placement], *, has_crashed: bool) -> list[jobs_pb2.TaskEnd]:
+        """Return the ends of tasks that were lost with one worker."""
+        known = [placement for placement in lost if placement.is_known]
+        blamed = [p for p in known if has_crashed and self._may_have_crashed_worker(p)]
+        last_placed_at = max((p.placed_at for p in blamed if p.has_run), default=0.0)
+        ends = []
+        for placement in known:
+            unit = self._jobs.find_unit(placement.key)
+            self._metrics.count_retry(RetryReason.WORKER_LOST)
+            end = jobs_pb2.TaskEnd(
+                job=placement.key[0],
+                position=placement.key[1],
+                attempt=placement.attempt,
+                kind=jobs_pb2.END_LAPSED,
+                checkpoint=unit.checkpoint if unit is not None else "",
+            )
+            if placement in blamed:
+                end.kind = jobs_pb2.END_CRASHED
+                end.was_newest = placement.has_run and was_newest(
+                    placement.placed_at, last_placed_at
+                )
+                end.gives_up = self._should_give_up(placement, was_newest=end.was_newest)
+            ends.append(end)
+        return ends
+
+    def _may_have_crashed_worker(self, placement: Placement) -> bool:
+        return (placement.has_run or placement.may_have_run) and may_be_blamed(
+            is_lasting=placement.is_lasting, ran_s=self._timers.now() - placement.placed_at
+        )
+
+    def _should_give_up(self, placement: Placement, *, was_newest: bool) -> bool:
+        """Return whether a task is given up whose worker has crashed once more."""
+        history = self._jobs.make_crash_history(placement.key, was_newest=was_newest)
+        gives_up = should_give_up(history)
+        logger.warning(
+            "worker crashed under task",
             job=placement.key[0],
             position=placement.key[1],
             attempt=placement.attempt,
-            kind=jobs_pb2.END_LAPSED,
-            checkpoint=unit.checkpoint if unit is not None else "",
+            worker=placement.worker.id,
+            crashes=history.crashes,
+            crashes_as_newest=history.crashes_as_newest,
+            gives_up=gives_up,
         )
+        return gives_up
 
     def may_orders_arrive_late(self) -> bool:
         """Return whether unanswered orders may still reach a worker late."""
--- a/src/dewspindle/_internal/network/pooled_client.py
+++ b/src/dewspindle/_internal/network/pooled_client.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from ..exceptions import ServerUnreachableError
+from ..exceptions import ServerNotConnectedError, ServerUnreachableError
 from .json_sender import JsonResponse, make_response
 
 IDLE_CONNECTION_S = 60.0  # Longer than servers keep idle connections, so that servers close first.
@@ -28,7 +28,8 @@
     ) -> JsonResponse:
         """Send a request; raise `ServerUnreachableError` if no complete response arrives.
 
-        Raises `TimeoutError` if the connection stayed open without a response in time.
+        Raises `ServerNotConnectedError` if the request was certainly not sent, and `TimeoutError`
+        if the connection stayed open without a response in time.
         """
         content = json.dumps(body, separators=(",", ":")).encode()
         all_headers = {"Content-Type": "application/json", **headers}
@@ -43,6 +44,8 @@
                 response_body = await response.read()
         except TimeoutError:
             raise
+        except aiohttp.ClientConnectorError as error:
+            raise ServerNotConnectedError(f"{address}: {error}") from None
         except (aiohttp.ClientError, OSError) as error:
             raise ServerUnreachableError(f"{address}: {error or type(error).__name__}") from None
         return make_response(
--- a/src/dewspindle/_internal/platform/worker_client.py
+++ b/src/dewspindle/_internal/platform/worker_client.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from ..exceptions import InvalidDocumentError, ServerUnreachableError
+from ..exceptions import InvalidDocumentError, ServerNotConnectedError, ServerUnreachableError
 from ..jobs.gateway import (
     ActiveTask,
     AnswerTimeoutError,
@@ -15,6 +15,7 @@
     StartOrder,
     StopOrder,
     WorkerEndpoint,
+    WorkerNotConnectedError,
     WorkerReplacedError,
 )
 from ..models.ids import JobId
@@ -128,6 +129,8 @@
             )
         except TimeoutError:
             raise AnswerTimeoutError("the worker did not respond before the timeout") from None
+        except ServerNotConnectedError as error:
+            raise WorkerNotConnectedError(error.detail) from None
         except ServerUnreachableError as error:
             raise NoDefiniteAnswerError(error.detail) from None
         if response.status == 421:
