Add a failing test: a worker that has shrunk gets what it no longer has

In the stand-ins a worker shrinks from 8,000 to 2,000 millicores, and the leader goes on to give it 8,000: in one term, after a change of leader, after a loss of power of all replicas, and while the worker's heartbeats are lost. Two scenarios hold on this code and have to go on holding: growth is used, and running tasks are not stopped.

--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -41,6 +41,8 @@
 MAX_STARTS_AFTER_CRASHES = 2  # Of such a task.
 NETWORK_LATENCY_S = 0.003
 HEARTBEAT_INTERVAL_S = 1.5
+# After a contact timeout of 3 s and a heartbeat, a shrunk worker gets only what it has left.
+SHRINKING_KNOWN_AFTER_S = 3.0 + HEARTBEAT_INTERVAL_S
 LATE_DELIVERY_S = 4.0
 
 
@@ -92,6 +94,9 @@
         self.is_draining = False
         self.sends_heartbeats = True
         self.is_up = True
+        # Capacities with the time since when each holds; the last one is the current.
+        self._capacities = [(float("-inf"), CAPACITY)]
+        self.is_executing_late = False
         self.runs: dict[TaskRef, Run] = {}
         self.ended: list[EndedTask] = []  # Ends that the leader has not acknowledged.
         self.highest_attempts: dict[TaskRef, int] = {}  # Of those ended or ordered to stop.
@@ -107,6 +112,24 @@
         # Each worker's clock started at a different time, so a deadline fits one worker only.
         return int((self.timers.now() - 1000 + self.number) * 1000)
 
+    @property
+    def capacity(self) -> Amounts:
+        return self._capacities[-1][1]
+
+    def resize(self, capacity: Amounts) -> None:
+        """Shrink or grow."""
+        self._capacities.append((self.timers.now(), capacity))
+
+    def get_counted_capacity(self) -> Amounts:
+        """Return the capacity that a start may use, by the time that a leader has to know less."""
+        known_since = self.timers.now() - SHRINKING_KNOWN_AFTER_S
+        counted = self.capacity
+        ends = [since for since, _ in self._capacities[1:]]
+        for (_, capacity), ended_at in zip(self._capacities, ends, strict=False):
+            if ended_at >= known_since:
+                counted = counted.get_elementwise_max(capacity)
+        return counted
+
     def tick(self) -> None:
         """End the tasks that are due, or all tasks if the lease has expired."""
         now = self.timers.now()
@@ -276,7 +299,8 @@
     refusal: no task of a refused job starts.
     cancellation: no task starts long after its job was cancelled.
     step order: a task starts only after the steps on which its step depends are done.
-    capacity: the tasks on a worker fit in its capacity.
+    capacity: the tasks on a worker fit in its full capacity, and a start in what is left of it;
+        what was taken away still counts for `SHRINKING_KNOWN_AFTER_S`.
     attempts: a task is started at most twice once three workers have crashed under it.
     """
 
@@ -333,7 +357,9 @@
         await self.timers.sleep(LATE_DELIVERY_S)
         if worker.counts_lease_from_arrival:
             worker.deadline_extension_ms = int((self.timers.now() - sent_at) * 1000)
+        worker.is_executing_late = True
         answer = call(worker)
+        worker.is_executing_late = False
         worker.deadline_extension_ms = 0
         if not isinstance(answer, OrderAnswer):
             answer.close()  # A renewal, which is a coroutine that has not begun.
@@ -369,7 +395,7 @@
                 id=worker.id,
                 pool="pool",
                 address=worker.address,
-                capacity=CAPACITY.to_message(),
+                capacity=worker.capacity.to_message(),
             ),
             draining=worker.is_draining,
             remaining_ms=1000,
@@ -449,6 +475,11 @@
     def _check_start(self, worker: CalledWorker, order: StartOrder) -> None:
         task = order.task
         plan = self.plans[task.job]
+        used = self._measure(worker)
+        if not worker.is_executing_late and not used.fits_in(worker.get_counted_capacity()):
+            self._record_broken_rule(
+                "capacity", f"{worker.id} runs {used} of {worker.capacity} after a start"
+            )
         if task in self.must_not_rerun:
             self._record_broken_rule("single run", f"{task} starts after it was done")
         if order.payload != plan.spec.payload:
@@ -468,6 +499,13 @@
                     )
                     return
 
+    def _measure(self, worker: CalledWorker) -> Amounts:
+        """Return what all tasks on a worker take."""
+        used = Amounts()
+        for task in worker.runs:
+            used += make_amounts(self.plans[task.job].spec.steps[task.step].resources)
+        return used
+
     def record_end(self, worker: CalledWorker, task: TaskRef, run: Run, kind: int) -> None:
         if kind == jobs_pb2.END_DONE:
             self.must_not_rerun.add(task)
