Follow a worker's capacity, and use no worker whose capacity may have changed unnoticed

What callers saw: nothing yet in the users' reports. In the stand-ins a worker of 2,000 millicores got tasks of 8,000.

Class of fault: what a worker said once was taken for its state. Ruled out: polling workers, whose capacity is taken from each poll, and whose reservations then are negative.

Change: each heartbeat sets the capacity; a change is committed, with the heartbeat's sequence, before the heartbeat is answered. No task is started on a worker that was not heard from for 3.5 s (before: 5 s), as what was taken away counts 4.5 s after it and a start order is sent for up to 0.9 s. A new leader counts that time from when its state is known to be complete, so after a loss of power of all replicas it waits for each worker's first heartbeat.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -244,7 +244,7 @@
         capacity = resources_pb2.Resources(processors=32_000, memory_mb=131_072)
         worker = self.fleet.add(jobs_pb2.CalledWorker(id=name, pool="pool", capacity=capacity))
         worker.is_reconciled = True
-        worker.last_heartbeat_at = math.inf
+        worker.last_heartbeat_at = worker.capacity_known_at = math.inf
         worker.lease.record_clock(0, received_at=0.0)
         self.speeds[name] = self._rng.choice(SPEEDS)
 
--- a/features/lib/known_faults.py
+++ b/features/lib/known_faults.py
@@ -62,11 +62,3 @@
             line = json.dumps({"location": str(scenario.location), "sign": sign})
             with Path(path).open("a") as file:
                 file.write(f"{line}\n")
-
-
-@shows_fault("shrinking-ignored")
-def shows_ignored_shrinking(context: Any, events: set[str]) -> bool:
-    """Return whether a worker got more than it had left."""
-    fleet = getattr(getattr(context, "cell", None), "fleet", None)
-    rules = fleet.broken.rules if fleet is not None else []
-    return bool(rules) and all(rule.startswith("capacity ") for rule in rules)
--- a/src/dewspindle/_internal/cell/view.py
+++ b/src/dewspindle/_internal/cell/view.py
@@ -51,6 +51,11 @@
         """Return the seconds since the state last was known to include every committed change."""
         return self._timers.now() - self._fresh_at
 
+    @property
+    def fresh_at(self) -> float:
+        """Return when the state last was known to include every committed change, by the timers."""
+        return self._fresh_at
+
     @property
     def is_fresh(self) -> bool:
         """Return whether the state is recent enough to serve requests from."""
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -64,6 +64,7 @@
         timers: TimerService,
         metrics: Metrics,
         term: int,
+        inherited_state_at: float,
     ) -> None:
         self._replica = replica
         self._view = view
@@ -72,6 +73,7 @@
         self._timers = timers
         self._metrics = metrics
         self._term = term
+        self._inherited_state_at = inherited_state_at
         self._wake = Signal()
         self._fleet = Fleet()
         self._sessions = WorkerSessionManager(
@@ -154,7 +156,9 @@
     def _load_state(self) -> None:
         """Load replicated workers and jobs; the workers themselves report which tasks run."""
         for message in self._view.state.job_store.workers.values():
-            self._sessions.inherit(message, lease_s=self._limits.lease_s)
+            self._sessions.inherit(
+                message, lease_s=self._limits.lease_s, recorded_at=self._inherited_state_at
+            )
         for stored in self._view.state.job_store.jobs.values():
             if stored.is_open:
                 self._add_run(stored, is_inherited=True)
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -11,7 +11,7 @@
 
 from ..models.ids import JobId
 from ..models.jobs import TaskRef
-from ..models.resources import Amounts, make_amounts
+from ..models.resources import NO_RESOURCES, Amounts, make_amounts
 from ..scheduling.answer_loss import (
     MAX_SUSPENDED_FRACTION,
     MIN_UNANSWERED,
@@ -30,7 +30,10 @@
 UNKNOWN_POSITION = -1  # Of a running task whose job is unknown, or has no such task.
 AttemptKey = tuple[TaskRef, int]
 
-HEARTBEAT_TIMEOUT_S = 5.0  # Three missed heartbeats of 1.5 s and a margin.
+HEARTBEAT_INTERVAL_S = 1.5
+# Two missed heartbeats and a margin. A worker may shrink right after a heartbeat, and then gets no
+# more than it has from 4.5 s later on; a start order is sent for up to 0.9 s.
+HEARTBEAT_TIMEOUT_S = 3.5
 SUSPENSION_BASE_S = 2.0  # First suspension, after failed or stuck tasks or a rejected start.
 SUSPENSION_MAX_S = 16.0
 UNANSWERED_SUSPENSION_S = 1.0
@@ -50,6 +53,13 @@
     ORDERS_UNANSWERED = "orders-unanswered"
 
 
+class WorkerChange(Enum):
+    """What a heartbeat may change that the next leader has to know."""
+
+    DRAINS = "drains"
+    CAPACITY = "capacity"
+
+
 class PlacementPhase(Enum):
     """Phases of a task on a worker."""
 
@@ -99,12 +109,14 @@
     capacity: Amounts
     id: str = field(init=False)
     free: Amounts = field(init=False)  # Capacity that is not reserved.
-    announced_capacity: Amounts = field(init=False)  # In the last heartbeat.
     lease: WorkerLease = field(default_factory=WorkerLease)
     # All that may run on the worker, also attempts that no open job waits for any more.
     placements: dict[AttemptKey, Placement] = field(default_factory=dict)
     unknown_count: int = 0  # Placements of unknown tasks.
     last_heartbeat_at: float = float("-inf")
+    capacity_known_at: float = float("-inf")  # When the worker last announced its capacity.
+    # It has shrunk below what its tasks take, which go on.
+    is_overfull: bool = False
     heartbeat_sequence: int = -1
     is_draining: bool = False
     drain_ends_at: float = float("inf")
@@ -128,7 +140,6 @@
     def __post_init__(self) -> None:
         self.id = self.message.id
         self.free = self.capacity
-        self.announced_capacity = self.capacity
 
     @property
     def endpoint(self) -> WorkerEndpoint:
@@ -150,7 +161,7 @@
 
         The reasons appear in the log. "leaves" means that it drains or has left, "unreachable" that
         it does not answer or its clock is not known yet, "unaccounted" that it is not reconciled or
-        runs an unknown task, and "suspended" that it is.
+        runs an unknown task, "suspended" that it is, and "silent" that it may have shrunk since.
         """
         if self.has_left or self.is_draining:
             return "leaves"
@@ -160,7 +171,7 @@
             return "unaccounted"
         if self.is_suspended(now):
             return "suspended"
-        if now - self.last_heartbeat_at >= HEARTBEAT_TIMEOUT_S:
+        if now - self.capacity_known_at >= HEARTBEAT_TIMEOUT_S:
             return "silent"
         # After a suspension, one task must succeed on the worker before others are placed there.
         if self.consecutive_suspensions and self.placements:
@@ -187,21 +198,24 @@
             del self.placements[placement.attempt_key]
             self.free += placement.amounts
             self.unknown_count -= not placement.is_known
+            self.is_overfull = self.is_overfull and not NO_RESOURCES.fits_in(self.free)
         placement.phase = PlacementPhase.ENDED
 
-    def announce_capacity(self, announced: Amounts) -> None:
-        """Log a capacity that differs from the last one announced."""
-        if announced == self.announced_capacity:
-            return
+    def set_capacity(self, capacity: Amounts) -> bool:
+        """Use the capacity that the worker announced, and return whether it changed."""
+        if capacity == self.capacity:
+            return False
+        before, self.capacity = self.capacity, capacity
+        self.free += capacity - before
+        self.is_overfull = not NO_RESOURCES.fits_in(self.free)
         logger.warning(
             "worker capacity changed",
             worker=self.id,
-            before=str(self.announced_capacity),
-            now=str(announced),
-            used=str(self.capacity),
+            before=str(before),
+            now=str(capacity),
             free=str(self.free),
         )
-        self.announced_capacity = announced
+        return True
 
     def record_answer(self, now: float) -> None:
         """Record an answer, and its time if it follows an unanswered call.
@@ -321,21 +335,25 @@
 
     def handle_heartbeat(
         self, worker: FleetWorker, heartbeat: peers_pb2.WorkerBeat, *, now: float
-    ) -> bool:
-        """Apply a heartbeat; return whether the worker began to drain with it."""
+    ) -> set[WorkerChange]:
+        """Apply a heartbeat, and return what it changed."""
+        changes: set[WorkerChange] = set()
         if heartbeat.sequence <= worker.heartbeat_sequence and not heartbeat.leaves:
-            return False
+            return changes
         worker.heartbeat_sequence = max(worker.heartbeat_sequence, heartbeat.sequence)
         worker.last_heartbeat_at = now
         if heartbeat.worker.HasField("capacity"):
-            worker.announce_capacity(make_amounts(heartbeat.worker.capacity))
+            worker.capacity_known_at = now
+            if worker.set_capacity(make_amounts(heartbeat.worker.capacity)):
+                changes.add(WorkerChange.CAPACITY)
         if heartbeat.clock_ms:
             worker.lease.record_clock(heartbeat.clock_ms, received_at=now)
         if heartbeat.leaves:
             worker.has_left = True
         # The end is not known yet if the drain began under an earlier leader.
-        began = heartbeat.draining and worker.drain_ends_at == float("inf")
+        if heartbeat.draining and worker.drain_ends_at == float("inf"):
+            changes.add(WorkerChange.DRAINS)
         worker.is_draining = worker.is_draining or heartbeat.draining
         if heartbeat.draining:
             worker.drain_ends_at = now + heartbeat.remaining_ms / 1000
-        return began
+        return changes
--- a/src/dewspindle/_internal/jobs/leader_services.py
+++ b/src/dewspindle/_internal/jobs/leader_services.py
@@ -91,6 +91,7 @@
             timers=self._timers,
             metrics=self._metrics,
             term=leadership.term,
+            inherited_state_at=leadership.inherited_state_at,
         )
         self._request_handler = JobRequestHandler(
             replica=self._replica,
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -311,11 +311,11 @@
         )
 
     def _check_capacity(self) -> None:
-        """Log once that the tasks on the worker exceed its capacity."""
+        """Log once that the tasks on the worker exceed a capacity that has not shrunk."""
         free = self._worker.free
         was_over_capacity = self._is_over_capacity
         self._is_over_capacity = not NO_RESOURCES.fits_in(free)
-        if self._is_over_capacity and not was_over_capacity:
+        if self._is_over_capacity and not was_over_capacity and not self._worker.is_overfull:
             logger.error(
                 "worker over capacity",
                 worker=self._worker.id,
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -13,7 +13,7 @@
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
-from .fleet import Fleet, FleetWorker
+from .fleet import HEARTBEAT_INTERVAL_S, Fleet, FleetWorker, WorkerChange
 from .session import WorkerSession
 
 logger = get_logger(__name__)
@@ -50,13 +50,21 @@
         """Start no further sessions."""
         self._group = None
 
-    def inherit(self, message: jobs_pb2.CalledWorker, *, lease_s: float) -> None:
-        """Add a worker on which an earlier leader may have started tasks."""
+    def inherit(
+        self, message: jobs_pb2.CalledWorker, *, lease_s: float, recorded_at: float
+    ) -> None:
+        """Add a worker on which an earlier leader may have started tasks.
+
+        `recorded_at` is when its message was last known to be up to date.
+        """
         now = self._timers.now()
         worker = self._fleet.add(message)
         worker.is_draining = message.draining
         worker.is_inherited = True
         worker.last_heartbeat_at = now
+        worker.heartbeat_sequence = message.sequence
+        # The earlier leader may have waited for the next heartbeat.
+        worker.capacity_known_at = recorded_at - HEARTBEAT_INTERVAL_S
         worker.lease.assume_granted(now=now, seconds=lease_s)
         self._open_session(worker)
 
@@ -84,31 +92,39 @@
         if worker is None:
             if heartbeat.leaves:
                 return
-            worker = await self._record_worker(heartbeat.worker)
+            worker = await self._record_worker(heartbeat)
             if worker is None:
                 return
         now = self._timers.now()
         was_usable = worker.is_usable(now)
-        if self._fleet.handle_heartbeat(worker, heartbeat, now=now):
+        changes = self._fleet.handle_heartbeat(worker, heartbeat, now=now)
+        if WorkerChange.DRAINS in changes:
             logger.info("worker drains", worker=worker.id, remaining_ms=heartbeat.remaining_ms)
             self._on_draining(worker)
-            await self._record_draining(worker)
+        if changes:
+            self._on_fleet_changed()
+            await self._record_changes(worker)
         if heartbeat.leaves:  # It has deregistered, unlike one that drains.
             logger.info("worker leaves", worker=worker.id, tasks=len(worker.placements))
             self.wake(worker.id)
         if worker.is_usable(now) and not was_usable:
             self._on_fleet_changed()
 
-    async def _record_draining(self, worker: FleetWorker) -> None:
-        """Record that a worker drains, so that a later leader does not use it either."""
+    async def _record_changes(self, worker: FleetWorker) -> None:
+        """Record that a worker drains or what capacity it has, for a later leader."""
         changed = jobs_pb2.CalledWorker()
         changed.CopyFrom(worker.message)
-        changed.draining = True
+        changed.draining = worker.is_draining
+        changed.capacity.CopyFrom(worker.capacity.to_message())
+        changed.sequence = max(0, worker.heartbeat_sequence)
         command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[changed]))
         await self._replica.propose(command)
 
-    async def _record_worker(self, message: jobs_pb2.CalledWorker) -> FleetWorker | None:
+    async def _record_worker(self, heartbeat: peers_pb2.WorkerBeat) -> FleetWorker | None:
         """Record a worker in the replicated state before any task starts there."""
+        message = jobs_pb2.CalledWorker()
+        message.CopyFrom(heartbeat.worker)
+        message.sequence = heartbeat.sequence
         while message.id in self._recording:
             await self._recording[message.id].wait()
         known = self._fleet.get(message.id)
--- a/src/dewspindle/_internal/replication/leadership.py
+++ b/src/dewspindle/_internal/replication/leadership.py
@@ -27,6 +27,7 @@
         self._term = term
         self._links: dict[ReplicaId, PeerLink] = {}
         self._started_at = context.timers.now()
+        self._inherited_state_at = context.view.fresh_at
         self._term_start_index = 0  # Index of the first entry of this term.
         self._is_transferring = False
         self._flush_started_at: float | None = None
@@ -46,6 +47,14 @@
         """Return when this replica became the leader."""
         return self._started_at
 
+    @property
+    def inherited_state_at(self) -> float:
+        """Return until when the state is known to hold all changes of earlier leaders.
+
+        Minus infinity after a restart without a leader, as their last changes may be long ago.
+        """
+        return self._inherited_state_at
+
     @property
     def links(self) -> dict[ReplicaId, PeerLink]:
         """Return the links to the peers by replica id."""
