--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -339,6 +339,13 @@
         """Apply a heartbeat, and return what it changed."""
         changes: set[WorkerChange] = set()
         if heartbeat.sequence <= worker.heartbeat_sequence and not heartbeat.leaves:
+            logger.info(
+                "late heartbeat ignored",
+                worker=worker.id,
+                sequence=heartbeat.sequence,
+                newest=worker.heartbeat_sequence,
+                born_ms=heartbeat.worker.born_ms,
+            )
             return changes
         worker.heartbeat_sequence = max(worker.heartbeat_sequence, heartbeat.sequence)
         worker.last_heartbeat_at = now
--- a/src/dewspindle/_internal/jobs/gateway.py
+++ b/src/dewspindle/_internal/jobs/gateway.py
@@ -119,6 +119,7 @@
     active: list[ActiveTask]
     ended: list[EndedTask]
     is_incomplete: bool  # A task that the lists omit may still run or have ended there.
+    born_ms: int = 0  # When this life of the worker started; 0 if unknown.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -120,6 +120,7 @@
         self._skip_wait = False
         self._renewal_scope: anyio.CancelScope | None = None
         self._is_over_capacity = False
+        self._born_ms = 0  # Of the last list.
 
     def wake(self) -> None:
         """Check the state of the worker again."""
@@ -274,6 +275,7 @@
         worker.is_reachable = True
         worker.lapsed.clear()
         new = [ended for ended in answer.ended if ended.number > self._committed_through]
+        self._log_life(answer)
         ends = self._process_ended(new)
         self._process_active(answer.active)
         self._check_capacity()
@@ -294,6 +296,21 @@
             logger.info("placed tasks not listed by worker", worker=worker.id, count=len(lost))
             await self._report_lost(lost)
 
+    def _log_life(self, answer: RenewalAnswer) -> None:
+        """Log a list of another life of the worker, and ends that were acknowledged before."""
+        worker = self._worker
+        old = [ended for ended in answer.ended if ended.number <= self._acknowledged_through]
+        if old:
+            logger.warning(
+                "ends listed again after their acknowledgement",
+                worker=worker.id,
+                numbers=[ended.number for ended in old[:MAX_LOGGED_TASKS]],
+                acknowledged=self._acknowledged_through,
+            )
+        if answer.born_ms and answer.born_ms != self._born_ms:
+            logger.info("worker life read", worker=worker.id, born_ms=answer.born_ms)
+            self._born_ms = answer.born_ms
+
     def _compare_reserved(self, answer: RenewalAnswer) -> None:
         """Log a difference between the reserved capacity and what the listed tasks take."""
         running = self._owner.measure_running(answer.active)
--- a/src/dewspindle/_internal/platform/heartbeats.py
+++ b/src/dewspindle/_internal/platform/heartbeats.py
@@ -45,6 +45,7 @@
             labels=labels,
             # The first label is the worker's kind, the second its rack.
             rack=labels[1] if len(labels) > 1 else "",
+            born_ms=read_uint(fields, "born", default=0, limit=MAX_SAFE_INTEGER),
         ),
         draining=state == STATE_DRAINING,
         remaining_ms=read_uint(fields, "remaining_ms", default=0),
--- a/src/dewspindle/_internal/platform/worker_client.py
+++ b/src/dewspindle/_internal/platform/worker_client.py
@@ -142,14 +142,14 @@
         await self._client.close()
 
 
-def _get_clock_ms(response: JsonResponse) -> int | None:
-    clock = response.body.get("clock_ms") if isinstance(response.body, dict) else None
-    return clock if isinstance(clock, int) and not isinstance(clock, bool) else None
+def _get_integer(response: JsonResponse, field: str) -> int | None:
+    value = response.body.get(field) if isinstance(response.body, dict) else None
+    return value if isinstance(value, int) and not isinstance(value, bool) else None
 
 
 def decode_order(response: JsonResponse) -> OrderAnswer:
     """Return the outcome of an order; raise `NoDefiniteAnswerError` if it is ambiguous."""
-    clock_ms = _get_clock_ms(response)
+    clock_ms = _get_integer(response, "clock_ms")
     if response.status == 200:
         return OrderAnswer(OrderOutcome.ACCEPTED, clock_ms)
     if response.status in (429, 503):
@@ -179,10 +179,11 @@
     is_partial = len(active_tasks) < len(active) or len(ended_tasks) < len(ended)
     return RenewalAnswer(
         outcome=OrderOutcome.ACCEPTED,
-        clock_ms=_get_clock_ms(response),
+        clock_ms=_get_integer(response, "clock_ms"),
         active=active_tasks,
         ended=ended_tasks,
         is_incomplete=is_partial or len(ended) >= MAX_LISTED_ENDS,
+        born_ms=_get_integer(response, "born") or 0,
     )
 
 
