Add a failing test: a task runs again after it ended on a worker that started again under its id

The stand-ins' workers can start again under the id that they had, with numbers of ends, heartbeats and clock begun anew.

Calls that are carried out late now reach the life of the worker that is up then. Heartbeats are numbered by each worker.

--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -30,7 +30,7 @@
 from dewspindle._internal.models.resources import Amounts, make_amounts
 from dewspindle._internal.schema import jobs_pb2, peers_pb2
 
-from .clock import ManualClock, ManualTimerService
+from .clock import WALL_CLOCK_START_MS, ManualClock, ManualTimerService
 
 CAPACITY = Amounts(processors=8000, memory_mb=16384)
 TICK_S = 0.05
@@ -76,10 +76,15 @@
 class CalledWorker:
     """One incarnation of a simulated worker; the message in jobs_pb2 has the same name."""
 
-    def __init__(self, fleet: "CalledFleet", number: int, *, incarnation: int = 0) -> None:
+    def __init__(
+        self, fleet: "CalledFleet", number: int, *, incarnation: int = 0, worker_id: str = ""
+    ) -> None:
         self.fleet = fleet
         self.number = number
-        self.id = f"w{number}-{incarnation}"
+        self.incarnation = incarnation
+        self.id = worker_id or f"w{number}-{incarnation}"
+        self.born_at = fleet.clock.now
+        self.heartbeat_sequence = 0
         self.address = f"10.0.0.{number + 1}:80"
         self.timers = fleet.clock.make_timers()
         self.is_cut_off = False  # Gets no calls and sends no answers or heartbeats.
@@ -107,10 +112,14 @@
         self._last_end_number = 0
         self._changed = anyio.Event()
 
+    @property
+    def born_ms(self) -> int:
+        return WALL_CLOCK_START_MS + int(self.born_at * 1000)
+
     @property
     def clock_ms(self) -> int:
-        # Each worker's clock started at a different time, so a deadline fits one worker only.
-        return int((self.timers.now() - 1000 + self.number) * 1000)
+        # Each worker's clock starts at another value, so a deadline fits one worker only.
+        return int((self.timers.now() - self.born_at + self.number) * 1000)
 
     @property
     def capacity(self) -> Amounts:
@@ -215,7 +224,12 @@
             for task, r in self.runs.items()
         ]
         return RenewalAnswer(
-            OrderOutcome.ACCEPTED, self.clock_ms, active, list(self.ended), is_incomplete=False
+            OrderOutcome.ACCEPTED,
+            self.clock_ms,
+            active,
+            list(self.ended),
+            is_incomplete=False,
+            born_ms=self.born_ms,
         )
 
     def crash(self) -> None:
@@ -333,7 +347,8 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled_at: dict[str, float] = {}  # When the cancellation was acknowledged.
-        self._heartbeat_sequence = 0
+        # Crashed workers start again under the same id, and know nothing of before.
+        self.keeps_ids = False
         self.clock.add_check(self.check)
 
     def make_gateway(self, timers: ManualTimerService) -> FakeGateway:
@@ -352,9 +367,13 @@
         raise WorkerNotConnectedError("the worker is down")
 
     async def deliver_late(self, worker: CalledWorker, call: Callable[[CalledWorker], Any]) -> None:
-        """Execute a start or stop after its sender has stopped waiting; drop a lease renewal."""
+        """Execute a start or stop after its sender has stopped waiting; drop a lease renewal.
+
+        By then another life of the worker may have begun under the same id.
+        """
         sent_at = self.timers.now()
         await self.timers.sleep(LATE_DELIVERY_S)
+        worker = next((w for w in self.workers if w.id == worker.id and w.is_up), worker)
         if worker.counts_lease_from_arrival:
             worker.deadline_extension_ms = int((self.timers.now() - sent_at) * 1000)
         worker.is_executing_late = True
@@ -377,30 +396,27 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            self._heartbeat_sequence += 1
             for worker in list(self.workers):
                 is_connected = worker.is_up and not worker.is_cut_off
                 if is_connected and worker.sends_heartbeats and not worker.timers.is_paused:
                     self.cell.start_soon(self.send_heartbeat, worker)
             await self.timers.sleep(HEARTBEAT_INTERVAL_S)
 
-    def increment_heartbeat_sequence(self) -> None:
-        """Raise the sequence number, so that the next heartbeat counts as newer."""
-        self._heartbeat_sequence += 1
-
     async def send_heartbeat(self, worker: CalledWorker) -> None:
         """Send a worker's heartbeat to the current leader."""
+        worker.heartbeat_sequence += 1
         heartbeat = peers_pb2.WorkerBeat(
             worker=jobs_pb2.CalledWorker(
                 id=worker.id,
                 pool="pool",
                 address=worker.address,
                 capacity=worker.capacity.to_message(),
+                born_ms=worker.born_ms,
             ),
             draining=worker.is_draining,
             remaining_ms=1000,
             clock_ms=worker.clock_ms,
-            sequence=self._heartbeat_sequence,
+            sequence=worker.heartbeat_sequence,
         )
         leader = self.cell.leader
         if leader is not None and leader.job_leader_services.dispatcher is not None:
@@ -418,13 +434,17 @@
         await self.timers.sleep(self.return_s)
         self.replace(worker)
 
-    def replace(self, worker: CalledWorker) -> CalledWorker:
+    def replace(self, worker: CalledWorker, *, keeps_id: bool = False) -> CalledWorker:
         """Crash a worker, unless it is down, and start another incarnation at its address."""
         if worker.is_up:
             worker.crash()
         self.workers.remove(worker)
-        incarnation = int(worker.id.rpartition("-")[2]) + 1
-        successor = CalledWorker(self, worker.number, incarnation=incarnation)
+        successor = CalledWorker(
+            self,
+            worker.number,
+            incarnation=worker.incarnation + 1,
+            worker_id=worker.id if keeps_id or self.keeps_ids else "",
+        )
         self.workers.append(successor)
         return successor
 
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -220,6 +220,8 @@
     """Inject a fault of a worker, or "leader " and a fault of the leader's replica."""
     if fault == "crash":
         context.cell.fleet.replace(worker)
+    elif fault == "restart under the same id":
+        context.cell.fleet.replace(worker, keeps_id=True)
     elif fault == "cut off":
         worker.is_cut_off = True
     elif fault == "freeze":
@@ -519,7 +521,6 @@
         context.cell.start_soon(fleet.send_heartbeat, context.worker)
         await anyio.lowlevel.checkpoint()
         context.worker.is_draining = True
-        fleet.increment_heartbeat_sequence()
         context.cell.start_soon(fleet.send_heartbeat, context.worker)
         await context.cell.clock.advance(0.5)
 
@@ -739,7 +740,6 @@
     context.worker.is_draining = True
 
     async def announce():
-        cell.fleet.increment_heartbeat_sequence()
         await cell.fleet.send_heartbeat(context.worker)
 
     async def lose():
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -39,7 +39,7 @@
 )
 from dewspindle._internal.utils.local_ports import reserve_address
 from dewspindle._internal.utils.timers import SystemTimerService
-from features.lib.called_fleet import CAPACITY, CalledFleet, CalledWorker
+from features.lib.called_fleet import CalledFleet, CalledWorker
 
 from .proxy import Proxy
 
@@ -132,6 +132,7 @@
             if renewal_answer.outcome is not OrderOutcome.ACCEPTED:
                 return 409, {"reason": REJECTION_NAMES[renewal_answer.outcome]}
             return 200, {
+                "born": renewal_answer.born_ms,
                 "active": [
                     [make_task_name(t.task), t.attempt, "", 100] for t in renewal_answer.active
                 ],
@@ -189,14 +190,15 @@
             with self.record_assertions():
                 self.check()
 
-    def replace(self, worker: CalledWorker) -> CalledWorker:
+    def replace(self, worker: CalledWorker, *, keeps_id: bool = False) -> CalledWorker:
         """Crash a worker and start another incarnation, without a valid lease."""
-        successor = super().replace(worker)
+        successor = super().replace(worker, keeps_id=keeps_id)
         successor.deadline_ms = successor.clock_ms
         return successor
 
     async def send_heartbeat(self, worker: CalledWorker) -> None:
         """Send the heartbeat of a worker, unless it is cut off, to a replica that accepts it."""
+        worker.heartbeat_sequence += 1
         host = self.hosts[worker.number]
         if host.proxy.link.drops_requests or host.proxy.link.drops_answers:
             return
@@ -209,10 +211,15 @@
             "state": "draining" if worker.is_draining else "ready",
             "remaining_ms": 1000,
             "cold_remaining_ms": 0,
-            "capacity": {"cpu": CAPACITY.processors, "mem_mb": CAPACITY.memory_mb, "gpu": 0},
+            "capacity": {
+                "cpu": worker.capacity.processors,
+                "mem_mb": worker.capacity.memory_mb,
+                "gpu": 0,
+            },
             "labels": ["a", "r1"],
             "clock_ms": worker.clock_ms,
-            "sequence": self._heartbeat_sequence,
+            "sequence": worker.heartbeat_sequence,
+            "born": worker.born_ms,
         }
         addresses = self.cell.control_addresses
         self.rng.shuffle(addresses)
