Tell the lives of a worker apart by their start, and acknowledge only ends that were read

A worker that starts again under its id numbers its ends from 1; the session compared them with the numbers of the life before, took them for committed, and acknowledged them with the next renewal, unread. The next list named the task neither running nor ended, so it was lost and placed anew. Class of fault: state kept by a name that outlives what it names. The same holds for the sequence of heartbeats (the new life was silent for the leader), its clock, its drain and suspensions, its labels and its crash.

Change: the list that a renewal returns says which life answers, and decides; a heartbeat of another life only asks for a list. With a new life the session begins anew (EndCursor, lease, sequence), attempts that the new life cannot have are lost with a crash, and attempts whose start orders were not answered are stopped there, as such an order may arrive late. Ends are acknowledged only within 0.5 s of an answered list, and only where there are new ones, so that an acknowledgement never goes to a life that was not read. Placements and the session's interface have modules of their own.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -20,7 +20,8 @@
 
 from dewspindle._internal.cell.jobs import JobStore, StoredJob
 from dewspindle._internal.jobs.advice import AdviceRequest, StepAdvice, StepKey
-from dewspindle._internal.jobs.fleet import Fleet, PlacementPhase
+from dewspindle._internal.jobs.fleet import Fleet
+from dewspindle._internal.jobs.placements import PlacementPhase
 from dewspindle._internal.jobs.planning import JobPlanner
 from dewspindle._internal.jobs.planning_round import PlannedStart
 from dewspindle._internal.jobs.runs import JobRun, UnitRun
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -35,6 +35,7 @@
 CAPACITY = Amounts(processors=8000, memory_mb=16384)
 TICK_S = 0.05
 STOP_DURATION_S = 0.3
+RESTART_S = 0.5  # Shortest time from a crash to the next life under the same id.
 DEADLY_AFTER_S = 0.2  # From the start of a deadly task to the crash of its worker.
 RETURN_S = 2.0  # From a crash under a deadly task to the next incarnation.
 MAX_CRASHES = 3  # Workers that may crash under a task before its starts count.
@@ -434,6 +435,11 @@
         await self.timers.sleep(self.return_s)
         self.replace(worker)
 
+    async def _restart(self, worker: CalledWorker) -> None:
+        await self.timers.sleep(RESTART_S)
+        worker.born_at = self.timers.now()
+        worker.is_up = True
+
     def replace(self, worker: CalledWorker, *, keeps_id: bool = False) -> CalledWorker:
         """Crash a worker, unless it is down, and start another incarnation at its address."""
         if worker.is_up:
@@ -446,6 +452,9 @@
             worker_id=worker.id if keeps_id or self.keeps_ids else "",
         )
         self.workers.append(successor)
+        if successor.id == worker.id:
+            successor.is_up = False
+            self.cell.start_soon(self._restart, successor)
         return successor
 
     def record_start(self, worker: CalledWorker, order: StartOrder, run: Run) -> None:
--- a/features/lib/known_faults.py
+++ b/features/lib/known_faults.py
@@ -62,13 +62,3 @@
             line = json.dumps({"location": str(scenario.location), "sign": sign})
             with Path(path).open("a") as file:
                 file.write(f"{line}\n")
-
-
-@shows_fault("restart-under-same-id")
-def shows_unnoticed_restart(context: Any, events: set[str]) -> bool:
-    """Return whether a worker started again under its id, and tasks ran twice or without limit."""
-    fleet = getattr(getattr(context, "cell", None), "fleet", None)
-    if fleet is None or not any(w.incarnation and w.id.endswith("-0") for w in fleet.workers):
-        return False
-    rules = fleet.broken.rules
-    return bool(rules) and all(rule.startswith(("single run ", "attempts ")) for rule in rules)
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -120,3 +120,24 @@
     Given a settings file that cannot be read
     When the launcher runs until it imports the program
     Then SIGHUP is ignored
+
+  # Two lives of a worker under one id differ in it.
+  Scenario Outline: The moment at which a worker started is read from <what>
+    When <what> of a worker that started at 1765000000123 ms is decoded
+    Then it tells that the worker started at 1765000000123 ms
+
+    Examples:
+      | what             |
+      | a heartbeat      |
+      | a list of runs   |
+      | a deregistration |
+
+  Scenario Outline: In <what>, <value> is no moment at which a worker started
+    When <what> of a worker that started at "<value>" is decoded
+    Then it tells no start
+
+    Examples:
+      | what             | value |
+      | a list of runs   | soon  |
+      | a list of runs   | true  |
+      | a list of runs   | 1.5   |
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -4,7 +4,7 @@
 
 from bench.job_model import JobModel, play
 from dewspindle._internal.jobs import planning
-from dewspindle._internal.jobs.fleet import Placement, PlacementPhase
+from dewspindle._internal.jobs.placements import Placement, PlacementPhase
 from dewspindle._internal.jobs.runs import JobRun
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -3,8 +3,9 @@
 import anyio.lowlevel
 from behave import given, then, when
 
-from dewspindle._internal.jobs.fleet import Fleet, Placement, PlacementPhase, SuspensionCause
+from dewspindle._internal.jobs.fleet import Fleet, SuspensionCause
 from dewspindle._internal.jobs.gateway import OrderOutcome, StartOrder
+from dewspindle._internal.jobs.placements import Placement, PlacementPhase
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
 from dewspindle._internal.models.resources import Amounts
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,15 +26,16 @@
 from dewspindle._internal.models.jobs import TaskRef
 from dewspindle._internal.network.deferred_client import DeferredJsonClient
 from dewspindle._internal.network.json_client import JsonClient
+from dewspindle._internal.network.json_sender import JsonResponse
 from dewspindle._internal.network.pooled_client import PooledJsonClient
 from dewspindle._internal.platform.advisor_client import decode_advice
 from dewspindle._internal.platform.cell_program import make_replica
 from dewspindle._internal.platform.entry_program import make_entry_instance
-from dewspindle._internal.platform.heartbeats import decode_heartbeat
+from dewspindle._internal.platform.heartbeats import decode_born_ms, decode_heartbeat
 from dewspindle._internal.platform.job_bodies import decode_job
 from dewspindle._internal.platform.queue_table import decode_queue_table
 from dewspindle._internal.platform.settings_file import FILE_VARIABLE, decode_platform_settings
-from dewspindle._internal.platform.worker_client import WorkerClient
+from dewspindle._internal.platform.worker_client import WorkerClient, decode_renewal
 from dewspindle._internal.utils.local_ports import reserve_address
 from dewspindle._internal.utils.metrics import Metrics
 from features.lib.stub_worker import StubWorkerServer
@@ -534,3 +535,37 @@
         assert 'state="done"' in line
         assert line.endswith(f" {total}.0"), line
         assert sum("wait_seconds_sum{" in x and x.endswith(" 0.25") for x in scrape.splitlines())
+
+
+BORN_READERS = {
+    "a heartbeat": lambda fields: (
+        decode_heartbeat("i-1", json.dumps({**HEARTBEAT, **fields}).encode()).worker.born_ms
+    ),
+    "a list of runs": lambda fields: (
+        decode_renewal(
+            JsonResponse(200, {}, {"clock_ms": 5, "active": [], "finished": [], **fields})
+        ).born_ms
+    ),
+    "a deregistration": lambda fields: decode_born_ms(json.dumps(fields).encode()),
+}
+
+
+@when("{what} of a worker that started at {value:d} ms is decoded")
+def when_born_decoded(context, what, value):
+    context.born_ms = BORN_READERS[what]({"born": value})
+
+
+@when('{what} of a worker that started at "{value}" is decoded')
+def when_invalid_born_decoded(context, what, value):
+    values = {"true": True, "1.5": 1.5}
+    context.born_ms = BORN_READERS[what]({"born": values.get(value, value)})
+
+
+@then("it tells that the worker started at {value:d} ms")
+def then_born(context, value):
+    assert context.born_ms == value, context.born_ms
+
+
+@then("it tells no start")
+def then_no_born(context):
+    assert context.born_ms == 0, context.born_ms
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -16,12 +16,13 @@
 from ..utils.timers import Signal, TimerService, wait_for_event
 from .advice import AdviceCall, AdviceClient
 from .end_reporter import EndReporter
-from .fleet import Fleet, FleetWorker, Placement, PlacementPhase, SuspensionCause
+from .fleet import Fleet, FleetWorker, SuspensionCause
 from .gateway import OrderOutcome, WorkerGateway
 from .helper_registry import Helper
 from .load_report import LoadReport
 from .open_jobs import OpenJobs
 from .orders import OrderSender
+from .placements import Placement, PlacementPhase
 from .planning import JobPlanner
 from .planning_round import PlannedStart
 from .runs import JobRun, UnitRun
@@ -47,6 +48,7 @@
     lease_s: float  # Lease of all tasks on a worker.
     keep_ended_ms: int  # How long the state of an ended job can be read.
     early_ms: int = 0  # How long before its due time an occurrence may start.
+    max_lease_s: float = 0.0  # Longest lease that workers accept, if longer than `lease_s`.
 
 
 class JobDispatcher(StateListener):
@@ -175,6 +177,7 @@
             timers=self._timers,
             fencing_token=self._term,
             lease_s=self._limits.lease_s,
+            max_lease_s=max(self._limits.lease_s, self._limits.max_lease_s),
         )
 
     def _add_run(self, stored: StoredJob, *, is_inherited: bool) -> JobRun:
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -10,7 +10,6 @@
 from enum import Enum
 
 from ..models.ids import JobId
-from ..models.jobs import TaskRef
 from ..models.resources import NO_RESOURCES, Amounts, make_amounts
 from ..scheduling.answer_loss import (
     MAX_SUSPENDED_FRACTION,
@@ -24,11 +23,7 @@
 from ..utils.logs import get_logger
 from .gateway import WorkerEndpoint
 from .leases import WorkerLease
-
-# A job and the position of one of its tasks over all occurrences and steps (see `JobLayout`).
-JobTaskKey = tuple[JobId, int]
-UNKNOWN_POSITION = -1  # Of a running task whose job is unknown, or has no such task.
-AttemptKey = tuple[TaskRef, int]
+from .placements import AttemptKey, Placement, PlacementPhase
 
 HEARTBEAT_INTERVAL_S = 1.5
 # Two missed heartbeats and a margin. A worker may shrink right after a heartbeat, and then gets no
@@ -54,51 +49,11 @@
 
 
 class WorkerChange(Enum):
-    """What a heartbeat may change that the next leader has to know."""
+    """What a heartbeat may change."""
 
+    LIFE = "life"  # It comes from another life than the last list.
     DRAINS = "drains"
-    CAPACITY = "capacity"
-
-
-class PlacementPhase(Enum):
-    """Phases of a task on a worker."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-    ENDED = "ended"
-
-
-@dataclass(slots=True, eq=False)
-class Placement:
-    """One attempt of a task on one worker, with capacity reserved until its end is known."""
-
-    key: JobTaskKey
-    task: TaskRef
-    attempt: int
-    amounts: Amounts
-    worker: "FleetWorker"
-    phase: PlacementPhase
-    placed_at: float
-    # Lists requested after this time must name the task; infinite while an order is unanswered.
-    must_be_listed_since: float = float("inf")
-    estimate_s: float = 0.0
-    is_lasting: bool = False  # It runs until it is stopped.
-    is_stop_ordered: bool = False
-    idle_since: float | None = None  # Since when its worker reports almost no CPU usage.
-    is_suspect: bool = False  # A worker has crashed under the task before.
-    has_run: bool = False  # Its worker has confirmed the start.
-    may_have_run: bool = False  # Its start order may have arrived, but was not answered.
-
-    @property
-    def attempt_key(self) -> AttemptKey:
-        """Return what tells the placement from all others on its worker."""
-        return (self.task, self.attempt)
-
-    @property
-    def is_known(self) -> bool:
-        """Return whether the task is one of a known job, so that its amounts are known."""
-        return self.key[1] != UNKNOWN_POSITION
+    DESCRIPTION = "description"  # Its capacity, labels, pool, address or life.
 
 
 @dataclass(slots=True, eq=False)
@@ -113,6 +68,11 @@
     # All that may run on the worker, also attempts that no open job waits for any more.
     placements: dict[AttemptKey, Placement] = field(default_factory=dict)
     unknown_count: int = 0  # Placements of unknown tasks.
+    born_ms: int = field(init=False)  # Tells the lives of the worker apart; 0 if unknown.
+    # Of another life, to be used once a list shows that it is the present one.
+    pending_heartbeat: peers_pb2.WorkerBeat | None = None
+    # Attempts whose start orders were not answered, with the time of the last one.
+    unanswered_starts: dict[AttemptKey, float] = field(default_factory=dict)
     last_heartbeat_at: float = float("-inf")
     capacity_known_at: float = float("-inf")  # When the worker last announced its capacity.
     # It has shrunk below what its tasks take, which go on.
@@ -140,6 +100,7 @@
     def __post_init__(self) -> None:
         self.id = self.message.id
         self.free = self.capacity
+        self.born_ms = self.message.born_ms
 
     @property
     def endpoint(self) -> WorkerEndpoint:
@@ -156,6 +117,21 @@
         """Return whether tasks that an earlier leader started there may be unknown."""
         return self.is_inherited and not self.is_reconciled
 
+    def is_other_life(self, born_ms: int) -> bool:
+        """Return whether a list or heartbeat comes from another life of the worker."""
+        return bool(born_ms and self.born_ms and born_ms != self.born_ms)
+
+    def begin_life(self, born_ms: int) -> None:
+        """Forget what held for the life before, except for the placements."""
+        self.born_ms = born_ms
+        self.heartbeat_sequence = -1
+        self.capacity_known_at = float("-inf")
+        self.is_draining = False
+        self.drain_ends_at = float("inf")
+        self.suspended_until = float("-inf")
+        self.consecutive_suspensions = 0
+        self.failures.clear()
+
     def find_unusable_reason(self, now: float) -> str:
         """Return why no task may be started on the worker, or an empty string.
 
@@ -201,10 +177,20 @@
             self.is_overfull = self.is_overfull and not NO_RESOURCES.fits_in(self.free)
         placement.phase = PlacementPhase.ENDED
 
-    def set_capacity(self, capacity: Amounts) -> bool:
-        """Use the capacity that the worker announced, and return whether it changed."""
-        if capacity == self.capacity:
+    def describe(self, announced: jobs_pb2.CalledWorker) -> bool:
+        """Use what the worker announced of itself, and return whether it changed."""
+        known = jobs_pb2.CalledWorker()
+        known.CopyFrom(self.message)
+        known.draining, known.sequence = announced.draining, announced.sequence
+        if known == announced:
             return False
+        self.message = announced
+        self._set_capacity(make_amounts(announced.capacity))
+        return True
+
+    def _set_capacity(self, capacity: Amounts) -> None:
+        if capacity == self.capacity:
+            return
         before, self.capacity = self.capacity, capacity
         self.free += capacity - before
         self.is_overfull = not NO_RESOURCES.fits_in(self.free)
@@ -215,7 +201,6 @@
             now=str(capacity),
             free=str(self.free),
         )
-        return True
 
     def record_answer(self, now: float) -> None:
         """Record an answer, and its time if it follows an unanswered call.
@@ -234,8 +219,14 @@
             self.has_left = True
             self.has_crashed = not self.is_draining
 
-    def record_unanswered_order(self, now: float) -> None:
+    def record_unanswered_order(self, attempt: AttemptKey, now: float) -> None:
         """Record an unanswered start order."""
+        recent = {
+            other: at
+            for other, at in self.unanswered_starts.items()
+            if now - at < LATE_ORDER_WINDOW_S
+        }
+        self.unanswered_starts = {**recent, attempt: now}
         self.consecutive_unanswered_orders += 1
         self.answer_counts.record(is_answered=False, now=now)
 
@@ -338,21 +329,26 @@
     ) -> set[WorkerChange]:
         """Apply a heartbeat, and return what it changed."""
         changes: set[WorkerChange] = set()
+        born_ms = heartbeat.worker.born_ms
+        if worker.is_other_life(born_ms):
+            worker.pending_heartbeat = heartbeat
+            return {WorkerChange.LIFE}
+        worker.born_ms = worker.born_ms or born_ms
         if heartbeat.sequence <= worker.heartbeat_sequence and not heartbeat.leaves:
             logger.info(
                 "late heartbeat ignored",
                 worker=worker.id,
                 sequence=heartbeat.sequence,
                 newest=worker.heartbeat_sequence,
-                born_ms=heartbeat.worker.born_ms,
+                born_ms=born_ms,
             )
             return changes
         worker.heartbeat_sequence = max(worker.heartbeat_sequence, heartbeat.sequence)
         worker.last_heartbeat_at = now
         if heartbeat.worker.HasField("capacity"):
             worker.capacity_known_at = now
-            if worker.set_capacity(make_amounts(heartbeat.worker.capacity)):
-                changes.add(WorkerChange.CAPACITY)
+            if worker.describe(heartbeat.worker):
+                changes.add(WorkerChange.DESCRIPTION)
         if heartbeat.clock_ms:
             worker.lease.record_clock(heartbeat.clock_ms, received_at=now)
         if heartbeat.leaves:
--- a/src/dewspindle/_internal/jobs/leases.py
+++ b/src/dewspindle/_internal/jobs/leases.py
@@ -42,6 +42,16 @@
         self._clock_ms = clock_ms
         self._sampled_at = received_at
 
+    def begin_life(self, clock_ms: int | None, *, now: float, seconds: float) -> None:
+        """Follow the clock of another life of the worker.
+
+        Orders with deadlines of the earlier clock may have given it a lease of up to `seconds`.
+        """
+        self._sampled_at = None
+        if clock_ms is not None:
+            self.record_clock(clock_ms, received_at=now)
+        self.assume_granted(now=now, seconds=seconds)
+
     def grant(self, *, now: float, seconds: float) -> int:
         """Grant a lease from now on and return its deadline, in ms of the worker's clock."""
         assert self._sampled_at is not None
--- a/src/dewspindle/_internal/jobs/open_jobs.py
+++ b/src/dewspindle/_internal/jobs/open_jobs.py
@@ -8,7 +8,7 @@
 from ..models.resources import Amounts
 from ..scheduling.crash_blame import CrashHistory
 from ..schema import jobs_pb2
-from .fleet import JobTaskKey
+from .placements import JobTaskKey
 from .runs import JobRun, UnitRun
 
 
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -8,7 +8,7 @@
 from ..utils.metrics import Metrics
 from ..utils.refusals import RetryReason
 from ..utils.timers import TimerService
-from .fleet import Fleet, Placement, PlacementPhase
+from .fleet import Fleet
 from .gateway import (
     AnswerTimeoutError,
     NoDefiniteAnswerError,
@@ -20,6 +20,7 @@
     WorkerNotConnectedError,
     WorkerReplacedError,
 )
+from .placements import Placement, PlacementPhase
 
 ORDER_TIMEOUT_S = 0.3  # A healthy worker answers within milliseconds, or after one retransmission.
 STOP_RETRY_DELAY_S = 0.3  # Also while the leader lease has lapsed.
@@ -137,7 +138,7 @@
         self, placement: Placement, error: NoDefiniteAnswerError, *, sent_at: float
     ) -> None:
         worker, now = placement.worker, self._timers.now()
-        worker.record_unanswered_order(now)
+        worker.record_unanswered_order(placement.attempt_key, now)
         self._fleet.suspend_if_silent(worker, now)
         if isinstance(error, AnswerTimeoutError):
             worker.lease.record_unanswered(sent_at=sent_at, seconds=self._lease_s)
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -6,7 +6,8 @@
 
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.gang_workers import GangWorkers, Release, WorkerOutlook
-from .fleet import Fleet, FleetWorker, Placement, PlacementPhase
+from .fleet import Fleet, FleetWorker
+from .placements import Placement, PlacementPhase
 from .runs import StepRun, UnitRun
 
 STOP_S = 0.9  # Longest time from a stop order to the end of the task.
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -1,17 +1,16 @@
 """The leader's session with one worker: renews its lease and reads which tasks ended."""
 
 from collections.abc import Iterable
-from typing import Protocol
 
 import anyio
 
-from ..models.jobs import TaskRef
-from ..models.resources import NO_RESOURCES, Amounts
+from ..models.resources import NO_RESOURCES
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import Signal, TimerService, wait_for_event
+from .end_cursor import EndCursor
 from .end_reporter import EndReporter
-from .fleet import FleetWorker, JobTaskKey, Placement, PlacementPhase
+from .fleet import FleetWorker
 from .gateway import (
     ActiveTask,
     AnswerTimeoutError,
@@ -23,6 +22,8 @@
     WorkerGateway,
     WorkerReplacedError,
 )
+from .placements import AttemptKey, Placement, PlacementPhase
+from .session_owner import SessionOwner
 
 # How long a worker may wait for a task end before it answers. Bounds the delay of task ends when an
 # answer is lost.
@@ -48,47 +49,10 @@
     return f"{job}/{position} attempt {placement.attempt} {placement.phase.value}"
 
 
-class SessionOwner(Protocol):
-    """Callbacks of a session to the dispatcher."""
-
-    def find_key(self, task: TaskRef) -> JobTaskKey | None:
-        """Return the key of a task, or None if the task is unknown."""
-
-    def adopt_or_stop(self, worker: FleetWorker, active: ActiveTask) -> None:
-        """Adopt or stop a running task without a known placement."""
-
-    def measure_running(self, tasks: Iterable[ActiveTask]) -> Amounts:
-        """Return what running tasks of known jobs take on their worker."""
-
-    def record_running(self, placement: Placement) -> None:
-        """Record that a worker has started a task."""
-
-    def record_checkpoint(self, placement: Placement, checkpoint: str) -> None:
-        """Store a newer checkpoint of a running task."""
-
-    def record_usage(self, placement: Placement, active: ActiveTask) -> None:
-        """Track the CPU usage of a running task."""
-
-    def record_listed_end(self, placement: Placement, kind: jobs_pb2.EndKind.ValueType) -> None:
-        """Handle a task end that a worker listed, before it is committed."""
-
-    def apply_ends(self, ends: list[jobs_pb2.TaskEnd]) -> None:
-        """Finish or requeue units whose task ends are committed."""
-
-    def may_orders_arrive_late(self) -> bool:
-        """Return whether unanswered orders may still reach a worker late."""
-
-    def may_act(self) -> bool:
-        """Return whether this replica may act as the leader."""
-
-    def make_lost_ends(self, lost: list[Placement], *, has_crashed: bool) -> list[jobs_pb2.TaskEnd]:
-        """Return the ends of tasks that were lost with one worker."""
-
-    async def remove_worker(self, worker: FleetWorker) -> None:
-        """Remove a worker on which nothing runs any more."""
-
-    def wake_planner(self) -> None:
-        """Trigger a planning round."""
+def list_attempts(answer: RenewalAnswer) -> set[AttemptKey]:
+    """Return the attempts that a worker lists as running or ended."""
+    listed = {(task.task, task.attempt) for task in answer.active}
+    return listed | {(task.task, task.attempt) for task in answer.ended}
 
 
 class WorkerSession:
@@ -104,6 +68,7 @@
         timers: TimerService,
         fencing_token: int,
         lease_s: float,
+        max_lease_s: float,
     ) -> None:
         self._worker = worker
         self._gateway = gateway
@@ -112,15 +77,14 @@
         self._timers = timers
         self._fencing_token = fencing_token
         self._lease_s = lease_s
+        self._max_lease_s = max_lease_s
         self._wake = Signal()
-        self._acknowledged_through = 0  # Number of the last task end acknowledged to the worker.
-        self._committed_through = 0  # Number of the last task end that is committed.
+        self._cursor = EndCursor()
         self._failed_renewals = 0  # Consecutive ones.
         self._left_at: float | None = None  # When the session noticed that the worker has left.
         self._skip_wait = False
         self._renewal_scope: anyio.CancelScope | None = None
         self._is_over_capacity = False
-        self._born_ms = 0  # Of the last list.
 
     def wake(self) -> None:
         """Check the state of the worker again."""
@@ -172,13 +136,19 @@
             bool(worker.placements)
             or not worker.is_reconciled
             or not worker.is_reachable
-            or self._acknowledged_through < self._committed_through
+            or self._cursor.has_unacknowledged
+            or worker.pending_heartbeat is not None
         )
 
     async def _send_renewal(self) -> None:
         worker = self._worker
         sent_at = self._timers.now()
-        may_wait = worker.placements and worker.is_reconciled and not self._skip_wait
+        may_wait = (
+            worker.placements
+            and worker.is_reconciled
+            and not self._skip_wait
+            and not self._cursor.is_read_due(sent_at)
+        )
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         self._skip_wait = False
         # The lease of an unreachable worker is not renewed, so that it ends at a known time.
@@ -186,10 +156,11 @@
         deadline = worker.lease.grant(now=sent_at, seconds=self._lease_s) if is_renewed else None
         order = RenewalOrder(
             fencing_token=self._fencing_token,
-            acknowledged_through=self._committed_through,
+            acknowledged_through=self._cursor.choose(sent_at),
             deadline_ms=deadline,
             wait_ms=int(wait_s * 1000),
         )
+        pending_heartbeat = worker.pending_heartbeat
         answer: RenewalAnswer | None = None
         try:
             with anyio.CancelScope() as self._renewal_scope:
@@ -200,13 +171,21 @@
             if is_renewed and isinstance(error, AnswerTimeoutError):
                 worker.lease.record_unanswered(sent_at=sent_at, seconds=self._lease_s)
             worker.record_unanswered_renewal(self._timers.now())
+            self._cursor.record_no_answer()
             await self._handle_failed_renewal(str(error))
             return
         finally:
             self._renewal_scope = None
         if answer is None:
+            self._cursor.record_no_answer()
             return
         worker.record_answer(self._timers.now())
+        if worker.is_other_life(answer.born_ms):
+            await self._begin_life(answer, sent_at=sent_at)
+        else:
+            self._cursor.record_acknowledged(order.acknowledged_through)
+            if worker.pending_heartbeat is pending_heartbeat:
+                worker.pending_heartbeat = None  # It came late, from an earlier life.
         if answer.clock_ms is not None:
             worker.lease.record_clock(answer.clock_ms, received_at=self._timers.now())
         if answer.outcome is not OrderOutcome.ACCEPTED:
@@ -214,9 +193,42 @@
             # Its tasks lapse, so their lease must not count as renewed.
             await self._handle_failed_renewal(f"it answers {answer.outcome.value}")
             return
-        self._acknowledged_through = order.acknowledged_through
+        self._cursor.record_read(self._timers.now())
         await self._apply_answer(answer, sent_at=sent_at)
 
+    async def _begin_life(self, answer: RenewalAnswer, *, sent_at: float) -> None:
+        """Follow a worker that crashed and started again under its id."""
+        worker, now = self._worker, self._timers.now()
+        listed = list_attempts(answer)
+        earlier = [
+            placement
+            for placement in worker.placements.values()
+            if placement.attempt_key not in listed
+            and placement.placed_at < sent_at
+            # The start of any other placement may have been accepted by the new life.
+            and not (placement.has_run and placement.must_be_listed_since >= sent_at)
+        ]
+        lapsed, worker.lapsed = worker.lapsed, []
+        logger.warning(
+            "worker started again under its id",
+            worker=worker.id,
+            born_ms=answer.born_ms,
+            born_before_ms=worker.born_ms,
+            acknowledged=self._cursor.acknowledged_through,
+            placements=len(worker.placements),
+            of_earlier_life=len(earlier),
+        )
+        was_draining = worker.is_draining
+        for placement in (*lapsed, *earlier):
+            placement.is_of_crashed_life = not was_draining
+        self._cursor.reset()
+        worker.begin_life(answer.born_ms)
+        worker.lease.begin_life(answer.clock_ms, now=now, seconds=self._max_lease_s)
+        self._owner.apply_heartbeat(worker)
+        self._owner.fence_attempts(worker, list(worker.unanswered_starts))
+        if lapsed:
+            await self._report_lost(lapsed)
+
     async def _handle_failed_renewal(self, why: str) -> None:
         """Count a renewal that was rejected or not answered; report tasks whose lease is over."""
         worker = self._worker
@@ -227,6 +239,9 @@
         if worker.is_reachable:
             logger.warning("worker unreachable", worker=worker.id, why=why)
         worker.is_reachable = False
+        if worker.pending_heartbeat is not None:
+            # Another life may have another address.
+            worker.message = worker.pending_heartbeat.worker
         may_orders_arrive_late = self._owner.may_orders_arrive_late()
         if worker.lease.is_over(self._timers.now(), may_orders_arrive_late=may_orders_arrive_late):
             worker.lapsed += worker.placements.values()
@@ -243,6 +258,8 @@
             return
         # It may have crashed before its lease expired.
         lapsed, worker.lapsed = worker.lapsed, []
+        for placement in (*lapsed, *worker.placements.values()):
+            placement.is_of_crashed_life = True
         await self._report_all_lost("the worker crashed", lapsed=lapsed)
 
     async def _report_all_lost(self, reason: str, *, lapsed: Iterable[Placement] = ()) -> None:
@@ -260,7 +277,7 @@
         await self._report_lost(lost)
 
     async def _report_lost(self, lost: list[Placement]) -> None:
-        ends = self._owner.make_lost_ends(lost, has_crashed=self._worker.has_crashed)
+        ends = self._owner.make_lost_ends(lost)
         for placement in lost:
             self._worker.release(placement)
         await self._reporter.commit(ends)
@@ -274,8 +291,8 @@
         was_reachable_and_reconciled = worker.is_reachable and worker.is_reconciled
         worker.is_reachable = True
         worker.lapsed.clear()
-        new = [ended for ended in answer.ended if ended.number > self._committed_through]
-        self._log_life(answer)
+        worker.born_ms = worker.born_ms or answer.born_ms
+        new = self._cursor.list_new(answer.ended)
         ends = self._process_ended(new)
         self._process_active(answer.active)
         self._check_capacity()
@@ -290,27 +307,11 @@
         worker.is_reconciled = True
         if not was_reachable_and_reconciled:
             self._owner.wake_planner()
-        if new:
-            self._committed_through = max(ended.number for ended in new)
+        self._cursor.record_committed(new)
         if lost:
             logger.info("placed tasks not listed by worker", worker=worker.id, count=len(lost))
             await self._report_lost(lost)
 
-    def _log_life(self, answer: RenewalAnswer) -> None:
-        """Log a list of another life of the worker, and ends that were acknowledged before."""
-        worker = self._worker
-        old = [ended for ended in answer.ended if ended.number <= self._acknowledged_through]
-        if old:
-            logger.warning(
-                "ends listed again after their acknowledgement",
-                worker=worker.id,
-                numbers=[ended.number for ended in old[:MAX_LOGGED_TASKS]],
-                acknowledged=self._acknowledged_through,
-            )
-        if answer.born_ms and answer.born_ms != self._born_ms:
-            logger.info("worker life read", worker=worker.id, born_ms=answer.born_ms)
-            self._born_ms = answer.born_ms
-
     def _compare_reserved(self, answer: RenewalAnswer) -> None:
         """Log a difference between the reserved capacity and what the listed tasks take."""
         running = self._owner.measure_running(answer.active)
@@ -377,8 +378,7 @@
 
     def _find_missing(self, answer: RenewalAnswer, *, sent_at: float) -> list[Placement]:
         """Return placements that the worker should list but does not."""
-        listed = {(task.task, task.attempt) for task in answer.active}
-        listed |= {(task.task, task.attempt) for task in answer.ended}
+        listed = list_attempts(answer)
         return [
             placement
             for placement in self._worker.placements.values()
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -98,6 +98,9 @@
         now = self._timers.now()
         was_usable = worker.is_usable(now)
         changes = self._fleet.handle_heartbeat(worker, heartbeat, now=now)
+        if WorkerChange.LIFE in changes:
+            self.renew_now(worker.id)
+            return
         if WorkerChange.DRAINS in changes:
             logger.info("worker drains", worker=worker.id, remaining_ms=heartbeat.remaining_ms)
             self._on_draining(worker)
@@ -115,7 +118,6 @@
         changed = jobs_pb2.CalledWorker()
         changed.CopyFrom(worker.message)
         changed.draining = worker.is_draining
-        changed.capacity.CopyFrom(worker.capacity.to_message())
         changed.sequence = max(0, worker.heartbeat_sequence)
         command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[changed]))
         await self._replica.propose(command)
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -12,18 +12,11 @@
 from ..utils.metrics import Metrics
 from ..utils.refusals import RetryReason
 from ..utils.timers import TimerService
-from .fleet import (
-    UNKNOWN_POSITION,
-    Fleet,
-    FleetWorker,
-    JobTaskKey,
-    Placement,
-    PlacementPhase,
-    SuspensionCause,
-)
+from .fleet import Fleet, FleetWorker, SuspensionCause
 from .gateway import ActiveTask
 from .open_jobs import OpenJobs
 from .orders import OrderSender
+from .placements import UNKNOWN_POSITION, AttemptKey, JobTaskKey, Placement, PlacementPhase
 from .planning import JobPlanner
 from .runs import UnitRun
 
@@ -156,10 +149,10 @@
         """Return whether this replica may act as the leader."""
         return self._may_act()
 
-    def make_lost_ends(self, lost: list[Placement], *, has_crashed: bool) -> list[jobs_pb2.TaskEnd]:
+    def make_lost_ends(self, lost: list[Placement]) -> list[jobs_pb2.TaskEnd]:
         """Return the ends of tasks that were lost with one worker."""
         known = [placement for placement in lost if placement.is_known]
-        blamed = [p for p in known if has_crashed and self._may_have_crashed_worker(p)]
+        blamed = [placement for placement in known if self._may_have_crashed_worker(placement)]
         last_placed_at = max((p.placed_at for p in blamed if p.has_run), default=0.0)
         ends = []
         for placement in known:
@@ -182,6 +175,8 @@
         return ends
 
     def _may_have_crashed_worker(self, placement: Placement) -> bool:
+        if not placement.is_of_crashed_life:
+            return False
         return (placement.has_run or placement.may_have_run) and may_be_blamed(
             is_lasting=placement.is_lasting, ran_s=self._timers.now() - placement.placed_at
         )
@@ -236,6 +231,31 @@
             unit.not_before = max(unit.not_before, self._timers.now() + FAILED_RETRY_DELAY_S)
             self._planner.requeue(unit)
 
+    def apply_heartbeat(self, worker: FleetWorker) -> None:
+        """Apply the heartbeat that came before the worker's present life was known, if any."""
+        heartbeat, worker.pending_heartbeat = worker.pending_heartbeat, None
+        if heartbeat is not None and heartbeat.worker.born_ms == worker.born_ms:
+            self._fleet.handle_heartbeat(worker, heartbeat, now=self._timers.now())
+
+    def fence_attempts(self, worker: FleetWorker, attempts: Iterable[AttemptKey]) -> None:
+        """Stop attempts whose start orders may still reach another life of the worker."""
+        for task, attempt in attempts:
+            if (task, attempt) in worker.placements:
+                continue
+            placement = Placement(
+                key=self._jobs.find_key(task) or (task.job, UNKNOWN_POSITION),
+                task=task,
+                attempt=attempt,
+                amounts=self._jobs.find_amounts(task) or NO_RESOURCES,
+                worker=worker,
+                phase=PlacementPhase.RUNNING,
+                placed_at=self._timers.now(),
+            )
+            worker.add(placement)
+            self._orders.stop(
+                placement, reason="its order may arrive at another life of its worker"
+            )
+
     def measure_running(self, tasks: Iterable[ActiveTask]) -> Amounts:
         """Return what running tasks of known jobs take on their worker."""
         total = NO_RESOURCES
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -40,6 +40,7 @@
     )
     limits = DispatchLimits(
         lease_s=min(TASK_LEASE_MS, platform.max_task_lease_ms) / 1000,
+        max_lease_s=platform.max_task_lease_ms / 1000,
         keep_ended_ms=platform.keep_ended_ms + RETENTION_MARGIN_MS,
         early_ms=platform.early_ms // 2,
     )
--- a/src/dewspindle/_internal/platform/heartbeats.py
+++ b/src/dewspindle/_internal/platform/heartbeats.py
@@ -53,3 +53,10 @@
         clock_ms=read_uint(fields, "clock_ms", default=0, limit=MAX_SAFE_INTEGER),
         sequence=read_uint(fields, "sequence", limit=MAX_SAFE_INTEGER),
     )
+
+
+def decode_born_ms(body: bytes) -> int:
+    """Return when the worker that deregisters started, 0 if the body does not tell."""
+    if not body:
+        return 0
+    return read_uint(parse_object(body), "born", default=0, limit=MAX_SAFE_INTEGER)
