--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -219,14 +219,18 @@
             self.has_left = True
             self.has_crashed = not self.is_draining
 
-    def record_unanswered_order(self, attempt: AttemptKey, now: float) -> None:
-        """Record an unanswered start order."""
+    def record_unanswered_start(self, attempt: AttemptKey, now: float) -> None:
+        """Record an unanswered start order, which may still arrive."""
         recent = {
             other: at
             for other, at in self.unanswered_starts.items()
             if now - at < LATE_ORDER_WINDOW_S
         }
         self.unanswered_starts = {**recent, attempt: now}
+        self.record_unanswered_order(now)
+
+    def record_unanswered_order(self, now: float) -> None:
+        """Count an unanswered start order."""
         self.consecutive_unanswered_orders += 1
         self.answer_counts.record(is_answered=False, now=now)
 
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -138,7 +138,7 @@
         self, placement: Placement, error: NoDefiniteAnswerError, *, sent_at: float
     ) -> None:
         worker, now = placement.worker, self._timers.now()
-        worker.record_unanswered_order(placement.attempt_key, now)
+        worker.record_unanswered_start(placement.attempt_key, now)
         self._fleet.suspend_if_silent(worker, now)
         if isinstance(error, AnswerTimeoutError):
             worker.lease.record_unanswered(sent_at=sent_at, seconds=self._lease_s)
