--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,13 @@
 
 import anyio
 
+from features.lib.called_fleet import RESTART_S
+
 if TYPE_CHECKING:
     from .runs import SoakRun
 
+KEPT_ID_FRACTION = 0.5  # Of the crashed workers.
+
 Fault = Callable[["SoakRun", random.Random], Coroutine[Any, Any, None]]
 FAULTS: dict[str, Fault] = {}
 
@@ -143,12 +147,14 @@
 
 @register_fault("worker-crash")
 async def crash_worker(run: "SoakRun", rng: random.Random) -> None:
-    """Crash a worker and start a new incarnation at its address."""
+    """Crash a worker and start it again at its address, under a new id or the one it had."""
     host = rng.choice(run.fleet.hosts)
     host.proxy.link.refuses_connections = True
     await host.proxy.reset()
-    run.fleet.replace(host.worker)
-    await anyio.sleep(rng.uniform(0.0, 3.0))
+    down_s = rng.uniform(0.0, 3.0)
+    keeps_id = rng.random() < KEPT_ID_FRACTION
+    run.fleet.replace(host.worker, keeps_id=keeps_id)
+    await anyio.sleep(down_s + (RESTART_S if keeps_id else 0.0))
     await host.proxy.restore()
 
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,6 +11,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from dewspindle._internal.models.resources import Amounts
+from features.lib.called_fleet import CAPACITY
+
 from .callers import Callers, Operator
 from .faults import FAULTS
 from .programs import CLIENT_PORT, CONTROL_PORT, Program
@@ -20,6 +23,7 @@
 # Until the first queue table is written; allows for a busy machine.
 FORMATION_TIMEOUT_S = 30.0
 SETTLE_TIMEOUT_S = 60.0  # For accepted jobs to complete after the last fault.
+RESIZE_INTERVAL_S = (0.5, 2.0)
 FAULT_INTERVAL_S = (0.3, 2.5)  # Between the starts of two faults, which may overlap.
 JOB_INTERVAL_S = (0.02, 0.25)
 
@@ -39,6 +43,7 @@
     ) -> None:
         self._seconds = seconds
         self._rng = random.Random(seed)
+        self._resize_rng = random.Random(f"{seed}-resize")  # Leaves the other draws as they are.
         self._group: TaskGroup | None = None
         self._replica_lock = anyio.Lock()
         self.clock = RealClock()
@@ -134,6 +139,7 @@
         ends_at = self.clock.now + self._seconds
         async with anyio.create_task_group() as group:
             group.start_soon(self._submit_jobs, ends_at)
+            group.start_soon(self._resize_workers, ends_at)
             while self.clock.now < ends_at:
                 name = self._rng.choice(sorted(FAULTS))
                 rng = random.Random(self._rng.getrandbits(32))
@@ -142,6 +148,17 @@
                 await anyio.sleep(self._rng.uniform(*FAULT_INTERVAL_S))
                 self._check_programs()
 
+    async def _resize_workers(self, ends_at: float) -> None:
+        """Shrink workers for a while, each by a random amount."""
+        while self.clock.now < ends_at:
+            worker = self._resize_rng.choice(self.fleet.workers)
+            millicores = int(CAPACITY.processors * self._resize_rng.uniform(0.2, 1.0))
+            worker.resize(Amounts(processors=millicores, memory_mb=CAPACITY.memory_mb))
+            self.fault_counts["worker-resize"] += 1
+            await anyio.sleep(self._resize_rng.uniform(*RESIZE_INTERVAL_S))
+        for worker in self.fleet.workers:
+            worker.resize(CAPACITY)
+
     async def _submit_jobs(self, ends_at: float) -> None:
         while self.clock.now < ends_at:
             self.start_soon(self.callers.run_job)
