Hold a waiting task back while a run of it that was found is being stopped

A worker that starts again under its id knows no fencing token, so a late order of a lost leader can now cause it.

The attempt is kept with the unit until its end is listed, and the unit is queued then. Test: a waiting task is started late on one worker, 100 ms before there is room on the other; it failed before (`runs on ['w0-0', 'w1-0']`) and passes, as do same_id, gangs and job_histories (34 scenarios).

--- a/features/same_id.feature
+++ b/features/same_id.feature
@@ -67,3 +67,11 @@
       | 102  |
       | 103  |
       | 104  |
+
+  # A start order of a lost leader may be carried out by a life that knows no fencing token yet.
+  Scenario: A waiting task whose late start was found is placed once that run has been stopped
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    And a job of 16 tasks of 3 seconds
+    When a task that waits is started late on a worker, 100 ms before there is room for it
+    And the cell runs for 15 seconds
+    Then every accepted job succeeded
--- a/features/steps/same_id_steps.py
+++ b/features/steps/same_id_steps.py
@@ -1,5 +1,8 @@
 from behave import given, when
 
+from dewspindle._internal.jobs.gateway import ActiveTask, StartOrder
+from dewspindle._internal.models.ids import JobId
+from dewspindle._internal.models.jobs import TaskRef
 from features.lib.stepping import advance
 from features.steps.job_steps import make_plan, make_step, submit_job
 
@@ -25,3 +28,25 @@
     for _ in range(count):
         submit_job(context, make_plan(make_step(tasks)))
     advance(context, seconds)
+
+
+@when("a task that waits is started late on a worker, {lead:d} ms before there is room for it")
+def when_started_late(context, lead):
+    cell = context.cell
+    submit_job(context, make_plan(make_step(1), run_s=3.0))
+    task = TaskRef(JobId(context.last_job), 0, 0, 0)
+
+    async def start_late():
+        worker, other = cell.fleet.workers
+        assert await cell.clock.advance_until(lambda: len(other.runs) == 8, seconds=2)
+        ends_at = next(iter(other.runs.values())).ends_at
+        await cell.clock.advance(ends_at - cell.clock.now - lead / 1000)
+        # Makes room on the first worker, so that only the run itself is at stake.
+        worker.runs.pop(next(iter(worker.runs)))
+        token = worker.token
+        worker.start(StartOrder(task, 1, "payload", worker.clock_ms + 9000, token, "", ""))
+        dispatcher = cell.leader.job_leader_services.dispatcher
+        known = dispatcher._fleet.get(worker.id)
+        dispatcher._events.adopt_or_stop(known, ActiveTask(task, 1, "", 100, None))
+
+    context.run(start_late())
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -294,6 +294,11 @@
             reserved_memory_mb=placement.amounts.memory_mb,
         )
         if unit is None or adoption is not Adoption.ADOPTED:
+            if adoption is Adoption.WORKERS_RECONCILED and unit is not None and unit.is_waiting:
+                # Holds the unit back until this attempt has ended.
+                unit.placements[key[1]] = placement
+                unit.attempt = max(unit.attempt, active.attempt)
+                self._planner.remove_unit(unit)
             self._orders.stop(placement, reason="it matches no open attempt")
             return
         unit.placements[key[1]] = placement
