Record what the first heartbeat of another life of a worker tells

The heartbeat that came before the life was known was applied in the leader's memory only, so a drain or another capacity, label or pool in it was never recorded for the next leader, as later heartbeats then changed nothing. It is now handled like any other. An attempt that the new life runs is no longer marked as one of the crashed life.

--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -125,6 +125,7 @@
             may_adopt=lambda: not self._workers_reconciled,
             wake_planner=self.wake_planner,
             remove_worker=self._sessions.remove_worker,
+            replay_heartbeat=self._sessions.replay_heartbeat,
         )
         self._load = LoadReport(
             measure_work=self._planner.measure_load, timers=timers, metrics=metrics
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -113,6 +113,11 @@
         if worker.is_usable(now) and not was_usable:
             self._on_fleet_changed()
 
+    def replay_heartbeat(self, heartbeat: peers_pb2.WorkerBeat) -> None:
+        """Handle a heartbeat again that came before the life of its worker was known."""
+        if self._group is not None:
+            self._group.start_soon(self.handle_heartbeat, heartbeat)
+
     async def _record_changes(self, worker: FleetWorker) -> None:
         """Record that a worker drains or what capacity it has, for a later leader."""
         changed = jobs_pb2.CalledWorker()
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -7,7 +7,7 @@
 from ..models.jobs import TaskRef
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.crash_blame import may_be_blamed, should_give_up, was_newest
-from ..schema import jobs_pb2
+from ..schema import jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
 from ..utils.refusals import RetryReason
@@ -64,6 +64,7 @@
         may_adopt: Callable[[], bool],
         wake_planner: Callable[[], None],
         remove_worker: Callable[[FleetWorker], Awaitable[None]],
+        replay_heartbeat: Callable[[peers_pb2.WorkerBeat], None],
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
@@ -75,6 +76,7 @@
         self._may_adopt = may_adopt
         self._wake_planner = wake_planner
         self._remove_worker = remove_worker
+        self._replay_heartbeat = replay_heartbeat
 
     def wake_planner(self) -> None:
         """Trigger a planning round."""
@@ -91,6 +93,7 @@
     def record_running(self, placement: Placement) -> None:
         """Record that a worker has started a task, so that its job no longer counts as waiting."""
         placement.has_run = True
+        placement.is_of_crashed_life = False
         unit = self._jobs.find_unit(placement.key)
         if unit is not None:
             unit.step.run.has_started = True
@@ -235,7 +238,7 @@
         """Apply the heartbeat that came before the worker's present life was known, if any."""
         heartbeat, worker.pending_heartbeat = worker.pending_heartbeat, None
         if heartbeat is not None and heartbeat.worker.born_ms == worker.born_ms:
-            self._fleet.handle_heartbeat(worker, heartbeat, now=self._timers.now())
+            self._replay_heartbeat(heartbeat)
 
     def fence_attempts(self, worker: FleetWorker, attempts: Iterable[AttemptKey]) -> None:
         """Stop attempts whose start orders may still reach another life of the worker."""
