Import everything before the RPC library starts its threads

Change: the HTTP clients, the exporter of metrics, and what uvicorn, anyio and grpc import on first use are imported before the first object of the RPC library; an import after that is logged, and fails a scenario with real processes and each soak run. The scenario takes the place of the one that wanted the imports in the thread of the event loop: none at all is stricter.

Not covered: the commands and `serve`, whose first calls may import modules; what the RPC library itself does wrong is not known.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -104,13 +104,12 @@
     And a caller sends a request before a server exists
     Then a server on that address answers the request
 
-  # Beside the threads of the RPC library such an import has ended replicas with a segmentation fault.
-  Scenario: Libraries that are imported after the start are not imported in another thread
-    Given a client and metrics whose libraries are imported after the start
-    When both are loaded while other tasks run
-    Then every module was imported in the thread of the event loop
+  # Beside the threads of the RPC library an import has ended replicas with a segmentation fault.
+  Scenario: Programs import nothing more once they have started
+    Given a replica and an entry instance of a new cell as processes
+    When the replica has dispatched jobs and both are stopped
+    Then neither imported a module after its start
 
-  # The exporter is loaded after the start, which callers wait for after a power loss.
   Scenario: Metrics of the time before their exporter was loaded are exported
     Given metrics with a counter of 3 and a value of 0.25 before the first scrape
     When they are scraped and the counter rises by 2 before the next scrape
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,12 +1,13 @@
 import asyncio
 import contextlib
 import json
+import os
 import random
 import runpy
 import signal
 import socket
+import subprocess
 import sys
-import threading
 from unittest import mock
 
 import anyio.lowlevel
@@ -24,7 +25,6 @@
 )
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
-from dewspindle._internal.network.deferred_client import DeferredJsonClient
 from dewspindle._internal.network.json_client import JsonClient
 from dewspindle._internal.network.json_sender import JsonResponse
 from dewspindle._internal.network.pooled_client import PooledJsonClient
@@ -473,44 +473,70 @@
     assert signal.getsignal(signal.SIGHUP) == signal.SIG_IGN
 
 
-@given("a client and metrics whose libraries are imported after the start")
-def given_deferred_imports(context):
-    context.modules = ("wave", "colorsys", "dewspindle._internal.utils.instruments")
-    context.importers = set()
-
-    def record(name, *args):
-        """Record the thread that looks for a module; finds none."""
-        context.importers.add(threading.get_ident())
-
-    finder = mock.Mock(find_spec=record)
-    patches = [
-        mock.patch.dict(sys.modules),
-        mock.patch.object(sys, "meta_path", [finder, *sys.meta_path]),
+def start_program(context, role, ip):
+    data_dir = context.folder / role
+    data_dir.mkdir()
+    settings = {
+        "node_name": role,
+        "zone": "zone",
+        "ip": ip,
+        "internal_ports": "7720,7730",
+        "bootstrap": "true",
+        "seed_nodes": f"{context.replica_ip}:8166",
+    }
+    if role == "cell":
+        settings |= {"data_dir": data_dir, "bind_addrs.admin": f"{ip}:8166"}
+    else:
+        settings |= {
+            "bind_addrs.client_addr": f"{ip}:8161",
+            "bind_addrs.readiness": f"{ip}:8167",
+        }
+    file = context.folder / f"{role}.conf"
+    file.write_text("".join(f"{name}={value}\n" for name, value in settings.items()))
+    process = subprocess.Popen(
+        [sys.executable, "deploy/start.py", role],
+        env={**os.environ, FILE_VARIABLE: str(file)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    context.closers.append(process.kill)
+    return process
+
+
+def read_until(process, event):
+    """Return the lines of a program up to the one of an event."""
+    lines = []
+    for line in process.stdout:
+        lines.append(line)
+        if f'"event": "{event}"' in line:
+            return lines
+    raise AssertionError(f"the program ended without {event!r}: {lines[-3:]}")
+
+
+@given("a replica and an entry instance of a new cell as processes")
+def given_programs(context):
+    network = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 256}"
+    context.replica_ip = f"{network}.101"
+    context.programs = [
+        start_program(context, "cell", context.replica_ip),
+        start_program(context, "entry", f"{network}.102"),
     ]
-    for patch in patches:
-        patch.start()
-        context.closers.append(patch.stop)
-    for module in context.modules:
-        sys.modules.pop(module, None)
-
-
-@when("both are loaded while other tasks run")
-def when_loaded(context):
-    client = DeferredJsonClient("wave", libraries=("colorsys",), make_client=lambda module: module)
-    metrics = Metrics(instance="i", zone="z")
 
-    async def load():
-        await client.load()
-        await metrics.load_later(lambda seconds: anyio.lowlevel.checkpoint())
 
-    context.run(load())
+@when("the replica has dispatched jobs and both are stopped")
+def when_dispatched(context):
+    replica, entry = context.programs
+    context.lines = read_until(replica, "inherited work is known") + read_until(entry, "starting")
+    for process in context.programs:
+        process.send_signal(signal.SIGTERM)
+        context.lines += process.communicate()[0].splitlines(keepends=True)
+        assert process.returncode == 0, context.lines[-5:]
 
 
-@then("every module was imported in the thread of the event loop")
-def then_imported(context):
-    missing = set(context.modules) - set(sys.modules)
-    assert not missing, missing
-    assert context.importers == {threading.get_ident()}, context.importers
+@then("neither imported a module after its start")
+def then_no_imports(context):
+    late = [line for line in context.lines if "module imported after the start" in line]
+    assert not late, late
 
 
 @given("metrics with a counter of 3 and a value of 0.25 before the first scrape")
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -15,6 +15,7 @@
 CLIENT_PORT = 8161
 PEER_PORT = 7720
 TERMINATE_TIMEOUT_S = 8.0  # `policy_limits.grace_period_s` plus a margin.
+LATE_IMPORT = "module imported after the start"
 SETTINGS = {
     "bootstrap": "true",
     "fault_tolerance.machines": "1",
@@ -132,6 +133,11 @@
             await self._process.wait()
         self.is_running = False
 
+    def list_late_imports(self) -> list[str]:
+        """Return the log lines of modules that were imported after a start."""
+        lines = self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
+        return [f"{self.name}: {line}" for line in lines if LATE_IMPORT in line]
+
     def check(self) -> None:
         """Record an exit that the soak test did not cause."""
         process: Any = self._process
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -169,6 +169,7 @@
             program.check()
 
     def _list_violations(self) -> list[str]:
-        exit_errors = [s for p in [*self.replicas, *self.entries] for s in p.exit_errors]
+        programs = [*self.replicas, *self.entries]
+        exit_errors = [s for p in programs for s in (*p.exit_errors, *p.list_late_imports())]
         broken_rules = list(dict.fromkeys(self.fleet.broken.rules))
         return [*broken_rules, *self.callers.violations, *self.operator.violations, *exit_errors]
--- a/src/dewspindle/_internal/instance.py
+++ b/src/dewspindle/_internal/instance.py
@@ -65,6 +65,7 @@
         self._timers = timers or SystemTimerService()
         self._rng = rng or random.Random()
         self._metrics = Metrics(instance=settings.instance_id, zone=settings.availability_zone)
+        self._metrics.load()
         initialize_reason_counters(self._metrics, enums=(Refusal, RetryReason))
         self._view = CellView(timers=self._timers, fence_after_s=settings.fence_after_ms / 1000)
         self._peer_client = PeerClient(settings)
@@ -259,7 +260,6 @@
             async with anyio.create_task_group() as group:
                 for run in self._list_tasks():
                     group.start_soon(run)
-                group.start_soon(self._metrics.load_later, self._timers.sleep)
                 await self._shutdown.wait()
                 await self._shut_down()
                 group.cancel_scope.cancel()
--- a/src/dewspindle/_internal/job_replica.py
+++ b/src/dewspindle/_internal/job_replica.py
@@ -1,8 +1,6 @@
 """Replica instance of a job cell (process role `cell`)."""
 
 import random
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 import anyio
 
@@ -40,10 +38,8 @@
         timers: TimerService,
         metrics: Metrics,
         rng: random.Random,
-        prepare: Callable[[], Coroutine[Any, Any, object]],
     ) -> None:
         self._settings = settings
-        self._prepare = prepare  # Makes the gateway ready for calls, beside the first election.
         self._timers = timers
         self._gateway = gateway
         self._advice_helper = AdviceHelper(advisor)
@@ -153,7 +149,6 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._run_replica)
                 group.start_soon(self._leader_services.run)
-                group.start_soon(self._prepare)
                 for server in self._servers:
                     group.start_soon(server.run)
                 await self._shutdown.wait()
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -7,7 +7,7 @@
 from ..job_instance import JobInstance
 from ..job_replica import JobReplicaInstance
 from ..jobs.dispatcher import DispatchLimits
-from ..network.deferred_client import DeferredJsonClient
+from ..network.pooled_client import PooledJsonClient
 from ..replication.address_book import AddressBook
 from ..utils.metrics import Metrics
 from ..utils.timers import SystemTimerService
@@ -31,13 +31,7 @@
             "a replica requires the settings 'bind_addrs.admin' and 'data_dir'"
         )
     timers = SystemTimerService()
-    client = DeferredJsonClient(
-        ".pooled_client",
-        libraries=("email.policy", "multidict", "yarl", "aiosignal", "aiohttp"),
-        make_client=lambda module: module.PooledJsonClient(
-            connections_per_address=CONNECTIONS_PER_WORKER
-        ),
-    )
+    client = PooledJsonClient(connections_per_address=CONNECTIONS_PER_WORKER)
     limits = DispatchLimits(
         lease_s=min(TASK_LEASE_MS, platform.max_task_lease_ms) / 1000,
         max_lease_s=platform.max_task_lease_ms / 1000,
@@ -52,7 +46,6 @@
         timers=timers,
         metrics=metrics,
         rng=random.Random(),
-        prepare=client.load,
     )
     app = ControlApp(leader=instance.leader, timers=timers)
     instance.add_server(HttpServer(app, address=platform.control_address))
--- a/src/dewspindle/_internal/platform/entry_program.py
+++ b/src/dewspindle/_internal/platform/entry_program.py
@@ -6,7 +6,7 @@
 from ..http.server import HttpServer
 from ..job_entry import JobEntryInstance
 from ..job_instance import JobInstance
-from ..network.deferred_client import DeferredJsonClient
+from ..network.json_client import AddressedJsonClient
 from ..replication.address_book import AddressBook
 from ..utils.metrics import Metrics
 from ..utils.timers import SystemTimerService
@@ -27,11 +27,7 @@
             "'bind_addrs.readiness'"
         )
     timers = SystemTimerService()
-    client = DeferredJsonClient(
-        ".json_client",
-        libraries=("h11", "httpcore"),
-        make_client=lambda module: module.AddressedJsonClient(),
-    )
+    client = AddressedJsonClient()
     instance = JobEntryInstance(
         make_instance_settings(platform),
         advisor=make_advisor_client(platform.advisor_address, client),
--- a/src/dewspindle/_internal/platform/programs.py
+++ b/src/dewspindle/_internal/platform/programs.py
@@ -13,6 +13,7 @@
 from ..exceptions import DewspindleError, InvalidSettingError
 from ..job_instance import JobInstance
 from ..replication.address_book import AddressBook
+from ..utils.imports import report_imports
 from ..utils.logs import LogFormat, configure_logs, get_logger
 from ..utils.metrics import Metrics, initialize_reason_counters
 from ..utils.refusals import Refusal, RetryReason
@@ -26,6 +27,14 @@
     "cell": ("cell_program", "make_replica"),
 }
 
+# Modules that libraries import only when they first need them.
+LATE_IMPORTS = (
+    "anyio._core._signals",
+    "grpc._utilities",
+    "uvicorn.lifespan.off",
+    "uvicorn.protocols.http.httptools_impl",
+)
+
 InstanceFactory = Callable[[PlatformSettings, Metrics], tuple[JobInstance, AddressBook]]
 
 logger = get_logger(__name__)
@@ -88,14 +97,18 @@
         zone=platform.availability_zone,
         stream=sys.stdout,
     )
+    make_instance = load_instance_factory(role)
     metrics = Metrics(instance=platform.instance_id, zone=platform.availability_zone)
+    metrics.load()
+    for module in LATE_IMPORTS:
+        import_module(module)
+    report_imports()
     initialize_reason_counters(metrics, enums=(Refusal, RetryReason))
-    instance, address_book = load_instance_factory(role)(platform, metrics)
+    instance, address_book = make_instance(platform, metrics)
     logger.info("starting", role=role, seeds=platform.seed_hosts, may_form=platform.may_form)
     async with anyio.create_task_group() as group:
         group.start_soon(watch_signals, instance, address_book, group)
         group.start_soon(watch_seeds, address_book)
-        group.start_soon(metrics.load_later, anyio.sleep)
         await instance.run()
         group.cancel_scope.cancel()
     logger.info("stopped", role=role)
--- a/src/dewspindle/_internal/utils/metrics.py
+++ b/src/dewspindle/_internal/utils/metrics.py
@@ -1,29 +1,24 @@
 """Metrics of one instance, which load their exporter when it is needed."""
 
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from .imports import import_in_steps
 from .refusals import Refusal, RetryReason
 
 if TYPE_CHECKING:
     from .instruments import Instruments
 
-LOAD_DELAY_S = 5.0  # From the start of an instance until it loads the exporter without a scrape.
-EXPORTER_LIBRARIES = ("opentelemetry.sdk.metrics", "opentelemetry.exporter.prometheus")
 MAX_EARLY_VALUES = 10_000  # Values of histograms that are kept until then; later ones are dropped.
 
-Sleep = Callable[[float], Awaitable[None]]
 Labels = tuple[tuple[str, str], ...]
 
 
 class Metrics:
     """Counters and histograms of one instance.
 
-    The exporter's libraries take a fifth of the time to start, which callers wait for after a power
-    loss. Until they are loaded, counts and values are kept and then handed over.
+    Programs load it before they start the RPC library, as imports beside its threads are not safe.
+    Until then, counts and values are kept, and then handed over.
     """
 
     def __init__(self, *, instance: str, zone: str) -> None:
@@ -55,10 +50,8 @@
         elif len(self._early_values) < MAX_EARLY_VALUES:
             self._early_values.append((name, value, labels))
 
-    async def load_later(self, sleep: Sleep) -> None:
-        """Load the exporter once the instance has started."""
-        await sleep(LOAD_DELAY_S)
-        await import_in_steps(".instruments", __package__, libraries=EXPORTER_LIBRARIES)
+    def load(self) -> None:
+        """Load the exporter, which the first scrape does otherwise."""
         self._load()
 
     def _load(self) -> "Instruments":
