Blame no task as the newest whose start an earlier leader ordered

A leader that adopts running tasks does not know when they started, and counted all of them as equally new. Two crashes of workers after changes of leader would have given up every task that ran there, though one at most is at fault. An adopted task now also counts as running at once, not from the next list on.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -79,3 +79,10 @@
     And the cell runs for 20 seconds
     Then every accepted job succeeded
     And no crash is counted for any task
+
+  # The new leader does not know which of them started last.
+  Scenario: Of tasks that a new leader found running on a worker that crashes, none is blamed as the newest
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    And a job of 12 tasks of 8 seconds
+    When the leader is lost while they run, and all workers crash 2 seconds later
+    Then one crash is counted for each of the 12 tasks, and none as the newest task
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -176,3 +176,28 @@
     jobs = context.cell.leader.replica.context.view.state.job_store.jobs.values()
     counted = {job.id: job.count_crashes(0) for job in jobs if job.count_crashes(0)}
     assert not counted, counted
+
+
+@when("the leader is lost while they run, and all workers crash {seconds:d} seconds later")
+def when_leader_lost_and_all_crash(context, seconds):
+    fleet = context.cell.fleet
+
+    async def lose_and_crash():
+        await context.cell.clock.advance(1.0)
+        await lose_leader(context)
+        await context.cell.clock.advance(seconds)
+        for worker in list(fleet.workers):
+            fleet.replace(worker)
+        await context.cell.clock.advance(2.0)
+
+    context.run(lose_and_crash())
+
+
+@then("one crash is counted for each of the {count:d} tasks, and none as the newest task")
+def then_crashes_without_newest(context, count):
+    jobs = context.cell.leader.replica.context.view.state.job_store.jobs
+    job = jobs[context.last_job]
+    crashes = [job.count_crashes(position) for position in range(count)]
+    newest = [job.count_crashes_as_newest(position) for position in range(count)]
+    assert crashes == [1] * count, crashes
+    assert newest == [0] * count, newest
--- a/src/dewspindle/_internal/jobs/placements.py
+++ b/src/dewspindle/_internal/jobs/placements.py
@@ -43,6 +43,7 @@
     is_lasting: bool = False  # It runs until it is stopped.
     is_stop_ordered: bool = False
     idle_since: float | None = None  # Since when its worker reports almost no CPU usage.
+    is_adopted: bool = False  # An earlier leader started it, at an unknown time.
     is_suspect: bool = False  # A worker has crashed under the task before.
     has_run: bool = False  # Its worker has confirmed the start.
     may_have_run: bool = False  # Its start order may have arrived, but was not answered.
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -48,6 +48,16 @@
     return placement.idle_since is not None and now - placement.idle_since >= STUCK_AFTER_S
 
 
+def list_newest(placements: list[Placement]) -> list[Placement]:
+    """Return the placements on one worker that started last, as far as that is known."""
+    running = [placement for placement in placements if placement.has_run]
+    if len(running) == 1:
+        return running
+    started = [placement for placement in running if not placement.is_adopted]
+    last_placed_at = max((placement.placed_at for placement in started), default=0.0)
+    return [p for p in started if was_newest(p.placed_at, last_placed_at)]
+
+
 class TaskEvents:
     """Owner of the worker sessions: follows running tasks, and finishes or requeues ended ones."""
 
@@ -156,7 +166,7 @@
         """Return the ends of tasks that were lost with one worker."""
         known = [placement for placement in lost if placement.is_known]
         blamed = [placement for placement in known if self._may_have_crashed_worker(placement)]
-        last_placed_at = max((p.placed_at for p in blamed if p.has_run), default=0.0)
+        newest = list_newest(blamed)
         ends = []
         for placement in known:
             unit = self._jobs.find_unit(placement.key)
@@ -170,9 +180,7 @@
             )
             if placement in blamed:
                 end.kind = jobs_pb2.END_CRASHED
-                end.was_newest = placement.has_run and was_newest(
-                    placement.placed_at, last_placed_at
-                )
+                end.was_newest = placement in newest
                 end.gives_up = self._should_give_up(placement, was_newest=end.was_newest)
             ends.append(end)
         return ends
@@ -284,6 +292,8 @@
             must_be_listed_since=self._timers.now(),
             estimate_s=unit.step.estimate_s if unit is not None else 0.0,
             is_lasting=unit is not None and unit.step.message.long_running,
+            has_run=True,
+            is_adopted=True,
         )
         worker.add(placement)
         adoption = self._check_adoption(placement, unit)
