Let a worker leave whose deregistration has a malformed body

Since the body of a deregistration is read for the start of the worker's life, and a malformed one was refused with 400, so that the worker would have left unheard. Found by reading the change again; a new example of platform.feature holds it (it would raise before).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -140,3 +140,4 @@
       | a list of runs   | soon  |
       | a list of runs   | true  |
       | a list of runs   | 1.5   |
+      | a deregistration | 1.5   |
--- a/src/dewspindle/_internal/platform/heartbeats.py
+++ b/src/dewspindle/_internal/platform/heartbeats.py
@@ -1,8 +1,9 @@
 """Decoding of worker heartbeats."""
 
-from ..exceptions import InvalidDocumentError
+from ..exceptions import DewspindleError, InvalidDocumentError
 from ..schema import jobs_pb2, peers_pb2
 from ..utils.addresses import parse_address
+from ..utils.logs import get_logger
 from .fields import (
     MAX_SAFE_INTEGER,
     is_encodable,
@@ -17,6 +18,8 @@
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 
+logger = get_logger(__name__)
+
 
 def decode_heartbeat(worker_id: str, body: bytes) -> peers_pb2.WorkerBeat:
     """Decode and validate a heartbeat; raise `MalformedBodyError` or `InvalidDocumentError`."""
@@ -56,7 +59,14 @@
 
 
 def decode_born_ms(body: bytes) -> int:
-    """Return when the worker that deregisters started, 0 if the body does not tell."""
+    """Return when the worker that deregisters started, 0 if the body does not tell.
+
+    Nothing else of the body is used, so a malformed one does not keep a worker from leaving.
+    """
     if not body:
         return 0
-    return read_uint(parse_object(body), "born", default=0, limit=MAX_SAFE_INTEGER)
+    try:
+        return read_uint(parse_object(body), "born", default=0, limit=MAX_SAFE_INTEGER)
+    except DewspindleError as error:
+        logger.warning("malformed deregistration body ignored", why=error.detail)
+        return 0
