Look for suspect tasks only in jobs under which a worker crashed

Each planning round looked at the progress of every waiting task, also of those that it could not place, so its cost grew with the backlog: found by reading, not measured.

--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -12,12 +12,13 @@
 class StoredJob:
     """An accepted job and the progress of its tasks, as replicated in the cell state."""
 
-    __slots__ = ("_layout", "_message", "_unfinished_units")
+    __slots__ = ("_has_crashes", "_layout", "_message", "_unfinished_units")
 
     def __init__(self, message: jobs_pb2.Job) -> None:
         self._message = message
         self._layout = JobLayout(message.spec)
         units = [unit.first_position for unit in self._layout.list_units()]
+        self._has_crashes = any(progress.crashes for progress in message.tasks.values())
         self._unfinished_units = sum(not self.is_done(position) for position in units)
 
     @property
@@ -67,6 +68,11 @@
         """
         return self._message.tasks.get(position)
 
+    @property
+    def has_crashes(self) -> bool:
+        """Return whether a worker is known to have crashed under any task."""
+        return self._has_crashes
+
     def count_crashes(self, position: int) -> int:
         """Return how many workers are known to have crashed under the task at a position."""
         progress = self.get_progress(position)
@@ -86,6 +92,7 @@
         if is_new_crash:
             progress.last_crashed_attempt = end.attempt
             progress.crashes += 1
+            self._has_crashes = True
             progress.crashes_as_newest += end.was_newest
         if end.attempt <= progress.last_ended_attempt:
             return is_new_crash
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -306,22 +306,20 @@
             penalty = SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
             return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
 
-        due = [unit for unit in step.waiting.values() if unit.not_before <= round_.now]
-        for unit in due:
-            if not unit.is_suspect:
+        for unit in list(step.waiting.values()) if step.run.stored.has_crashes else ():
+            if not unit.is_suspect or unit.not_before > round_.now:
                 continue
             worker = choose_for_suspect(unit, candidates, round_, score=score)
             if worker is None:
-                self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
-                return
+                break
             round_.workers_with_suspect.add(worker.id)
             if limit:
                 placed[worker.id] += 1
             self._start(step, unit, {unit.unit.first_position: worker.id}, round_)
 
         queued = CandidateQueue(candidates, score=score)
-        for unit in due:
-            if unit.is_suspect:
+        for unit in list(step.waiting.values()):
+            if unit.not_before > round_.now:
                 continue
             worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
             if worker is None:
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -54,7 +54,7 @@
     def is_suspect(self) -> bool:
         """Return whether a worker has crashed under any of the unit's tasks."""
         stored = self.step.run.stored
-        return any(stored.count_crashes(position) for position in self.unit.positions)
+        return stored.has_crashes and any(map(stored.count_crashes, self.unit.positions))
 
     @property
     def is_waiting(self) -> bool:
