Take the workers' heartbeat limits from the settings

A worker counted as silent 3.5 s after its last heartbeat on any deployment: with a contact timeout of 3 s and heartbeats each 1.5 s that is right, but a deployment with heartbeats each 4 s would have lost its workers between any two of them, and a shorter contact timeout would have let a shrunk worker be overcommitted. Both are read from the settings file now; 3.5 s is what they give on the known sites with 3 s, 4.5 and 5.5 s on those with 4 and 5 s. Found by reading; four examples in features/capacity.feature.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -42,3 +42,14 @@
     When a worker shrinks to 2000 millicores right after its last heartbeat and 4600 ms pass
     And a job of 8 tasks is submitted and 3 seconds pass
     Then no worker got more than it has left
+
+  Scenario Outline: A worker with heartbeats each <interval> ms gets no tasks <timeout> ms after the last one
+    Given settings with heartbeats each <interval> ms and a contact timeout of <contact> ms
+    Then a worker counts as silent after <timeout> ms
+
+    Examples:
+      | interval | contact | timeout |
+      | 1500     | 3000    | 3500    |
+      | 1500     | 5000    | 5500    |
+      | 6000     | 3000    | 8000    |
+      | 1500     | 500     | 2000    |
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -1,6 +1,8 @@
-from behave import then, when
+from behave import given, then, when
 
 from dewspindle._internal.models.resources import Amounts
+from dewspindle._internal.platform.cell_program import make_heartbeat_limits
+from dewspindle._internal.platform.settings_file import decode_platform_settings
 from features.lib.called_fleet import CAPACITY
 from features.lib.stepping import advance
 from features.steps.job_steps import make_plan, make_step, submit_job
@@ -93,3 +95,17 @@
 @then("no worker got more than it has left")
 def then_none_over_capacity(context):
     assert not context.cell.fleet.broken.rules, context.cell.fleet.broken.rules[:3]
+
+
+@given("settings with heartbeats each {interval:d} ms and a contact timeout of {contact:d} ms")
+def given_heartbeat_settings(context, interval, contact):
+    context.platform_settings = decode_platform_settings(
+        "node_name=n\nzone=z\nip=127.0.0.1\ninternal_ports=7720,7730\n"
+        f"heartbeat_interval_ms={interval}\npolicy_limits.contact_timeout_ms={contact}\n"
+    )
+
+
+@then("a worker counts as silent after {timeout:d} ms")
+def then_silent_after(context, timeout):
+    limits = make_heartbeat_limits(context.platform_settings)
+    assert round(limits.timeout_s * 1000) == timeout, limits
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -1,7 +1,7 @@
 """The leader's job dispatcher: manages worker sessions and open jobs, and sends orders."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
@@ -16,7 +16,7 @@
 from ..utils.timers import Signal, TimerService, wait_for_event
 from .advice import AdviceCall, AdviceClient
 from .end_reporter import EndReporter
-from .fleet import Fleet, FleetWorker, SuspensionCause
+from .fleet import Fleet, FleetWorker, HeartbeatLimits, SuspensionCause
 from .gateway import OrderOutcome, WorkerGateway
 from .helper_registry import Helper
 from .load_report import LoadReport
@@ -48,6 +48,7 @@
     lease_s: float  # Lease of all tasks on a worker.
     keep_ended_ms: int  # How long the state of an ended job can be read.
     early_ms: int = 0  # How long before its due time an occurrence may start.
+    heartbeats: HeartbeatLimits = field(default_factory=HeartbeatLimits)
     max_lease_s: float = 0.0  # Longest lease that workers accept, if longer than `lease_s`.
 
 
@@ -77,7 +78,7 @@
         self._term = term
         self._inherited_state_at = inherited_state_at
         self._wake = Signal()
-        self._fleet = Fleet()
+        self._fleet = Fleet(limits.heartbeats)
         self._sessions = WorkerSessionManager(
             replica=replica,
             fleet=self._fleet,
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -25,10 +25,8 @@
 from .leases import WorkerLease
 from .placements import AttemptKey, Placement, PlacementPhase
 
-HEARTBEAT_INTERVAL_S = 1.5
-# Two missed heartbeats and a margin. A worker may shrink right after a heartbeat, and then gets no
-# more than it has from 4.5 s later on; a start order is sent for up to 0.9 s.
-HEARTBEAT_TIMEOUT_S = 3.5
+START_MARGIN_S = 1.0  # A start order is sent again for up to 0.9 s.
+MIN_SILENCE_S = 0.5  # By which a heartbeat may be late.
 SUSPENSION_BASE_S = 2.0  # First suspension, after failed or stuck tasks or a rejected start.
 SUSPENSION_MAX_S = 16.0
 UNANSWERED_SUSPENSION_S = 1.0
@@ -56,12 +54,29 @@
     DESCRIPTION = "description"  # Its capacity, labels, pool, address or life.
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatLimits:
+    """How often workers send heartbeats, and when a shrunk worker has to be known."""
+
+    interval_s: float = 1.5
+    # A worker that shrinks right after a heartbeat gets no more than it has this long after the
+    # next one.
+    shrinking_known_s: float = 3.0
+
+    @property
+    def timeout_s(self) -> float:
+        """Return how long after a heartbeat a worker may still get tasks."""
+        timeout_s = self.shrinking_known_s + self.interval_s - START_MARGIN_S
+        return max(timeout_s, self.interval_s + MIN_SILENCE_S)
+
+
 @dataclass(slots=True, eq=False)
 class FleetWorker:
     """The leader's state of one incarnation of a worker."""
 
     message: jobs_pb2.CalledWorker
     capacity: Amounts
+    heartbeat_timeout_s: float
     id: str = field(init=False)
     free: Amounts = field(init=False)  # Capacity that is not reserved.
     lease: WorkerLease = field(default_factory=WorkerLease)
@@ -147,7 +162,7 @@
             return "unaccounted"
         if self.is_suspended(now):
             return "suspended"
-        if now - self.capacity_known_at >= HEARTBEAT_TIMEOUT_S:
+        if now - self.capacity_known_at >= self.heartbeat_timeout_s:
             return "silent"
         # After a suspension, one task must succeed on the worker before others are placed there.
         if self.consecutive_suspensions and self.placements:
@@ -279,7 +294,8 @@
 class Fleet:
     """All called workers that the leader knows, by id."""
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeats: HeartbeatLimits | None = None) -> None:
+        self._heartbeats = heartbeats or HeartbeatLimits()
         self._workers: dict[str, FleetWorker] = {}
 
     def __iter__(self) -> Iterator[FleetWorker]:
@@ -288,13 +304,22 @@
     def __len__(self) -> int:
         return len(self._workers)
 
+    @property
+    def heartbeats(self) -> HeartbeatLimits:
+        """Return the limits of the workers' heartbeats."""
+        return self._heartbeats
+
     def get(self, worker_id: str) -> FleetWorker | None:
         """Return a worker, or None if it is unknown."""
         return self._workers.get(worker_id)
 
     def add(self, message: jobs_pb2.CalledWorker) -> FleetWorker:
         """Add a worker without placements."""
-        worker = FleetWorker(message, capacity=make_amounts(message.capacity))
+        worker = FleetWorker(
+            message,
+            capacity=make_amounts(message.capacity),
+            heartbeat_timeout_s=self._heartbeats.timeout_s,
+        )
         self._workers[message.id] = worker
         return worker
 
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -13,7 +13,7 @@
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
-from .fleet import HEARTBEAT_INTERVAL_S, Fleet, FleetWorker, WorkerChange
+from .fleet import Fleet, FleetWorker, WorkerChange
 from .session import WorkerSession
 
 logger = get_logger(__name__)
@@ -64,7 +64,7 @@
         worker.last_heartbeat_at = now
         worker.heartbeat_sequence = message.sequence
         # The earlier leader may have waited for the next heartbeat.
-        worker.capacity_known_at = recorded_at - HEARTBEAT_INTERVAL_S
+        worker.capacity_known_at = recorded_at - self._fleet.heartbeats.interval_s
         worker.lease.assume_granted(now=now, seconds=lease_s)
         self._open_session(worker)
 
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -7,6 +7,7 @@
 from ..job_instance import JobInstance
 from ..job_replica import JobReplicaInstance
 from ..jobs.dispatcher import DispatchLimits
+from ..jobs.fleet import HeartbeatLimits
 from ..network.pooled_client import PooledJsonClient
 from ..replication.address_book import AddressBook
 from ..utils.metrics import Metrics
@@ -22,6 +23,14 @@
 RETENTION_MARGIN_MS = 30_000  # Added to the platform's retention period for ended jobs.
 
 
+def make_heartbeat_limits(platform: PlatformSettings) -> HeartbeatLimits:
+    """Return the limits of the workers' heartbeats."""
+    return HeartbeatLimits(
+        interval_s=platform.heartbeat_interval_ms / 1000,
+        shrinking_known_s=platform.contact_timeout_ms / 1000,
+    )
+
+
 def make_replica(
     platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
 ) -> tuple[JobInstance, AddressBook]:
@@ -37,6 +46,7 @@
         max_lease_s=platform.max_task_lease_ms / 1000,
         keep_ended_ms=platform.keep_ended_ms + RETENTION_MARGIN_MS,
         early_ms=platform.early_ms // 2,
+        heartbeats=make_heartbeat_limits(platform),
     )
     instance = JobReplicaInstance(
         make_instance_settings(platform),
--- a/src/dewspindle/_internal/platform/settings_file.py
+++ b/src/dewspindle/_internal/platform/settings_file.py
@@ -29,6 +29,8 @@
     keep_ended_ms: int  # Minimum retention of the state of ended jobs.
     early_ms: int  # How long before its due time a run of a recurring job may start.
     grace_ms: int  # Time between a stop request and the kill of the process.
+    heartbeat_interval_ms: int  # Of workers.
+    contact_timeout_ms: int  # Within which this and a heartbeat a shrunk worker must be known.
 
 
 def load_platform_settings(path: Path | None = None) -> PlatformSettings:
@@ -71,6 +73,8 @@
         max_task_lease_ms=_read_integer(fields, "policy_limits.max_hold_ms", default=10_000),
         keep_ended_ms=1000 * _read_integer(fields, "policy_limits.status_s", default=120),
         early_ms=_read_integer(fields, "policy_limits.early_ms", default=0),
+        heartbeat_interval_ms=_read_integer(fields, "heartbeat_interval_ms", default=1500),
+        contact_timeout_ms=_read_integer(fields, "policy_limits.contact_timeout_ms", default=3000),
         grace_ms=int(1000 * _read_number(fields, "policy_limits.grace_period_s", default=6.0)),
     )
 
