Serve teams: keys, job ownership, caps and admission by share

Callers of every team were served alike, whatever key they sent: the queue table's teams, their caps and weights were decoded by nobody.

The leader now decides on each key against the newest queue table, under its lease, so that no stale instance can accept a withdrawn key. A job belongs to the team that submitted it. The planner starts nothing above a team's cap, counting all placements and, after a change of leader, tasks that silent workers may hold. Jobs beyond a team's rate use capacity that nothing else waits for, or are refused at submission with 429 and a Retry-After.

--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -1,6 +1,6 @@
 """Multi-step jobs in the replicated state."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ..models.ids import JobId
 from ..models.jobs import JobLayout, TaskRef
@@ -31,6 +31,11 @@
         """Return the job as it is stored in the cell state."""
         return self._message
 
+    @property
+    def team(self) -> str:
+        """Return the team that submitted the job, empty if it is not known."""
+        return self._message.team
+
     @property
     def layout(self) -> JobLayout:
         """Return the mapping between task positions and steps."""
@@ -142,6 +147,8 @@
         self.jobs: dict[JobId, StoredJob] = {}
         self.workers: dict[str, jobs_pb2.CalledWorker] = {}
         self._queue_table = jobs_pb2.QueueTable()
+        self._teams: dict[str, jobs_pb2.Team] = {}
+        self._team_by_key: dict[bytes, jobs_pb2.Team] = {}  # By digest.
         self._queues: dict[str, dict[str, jobs_pb2.Queue]] = {}  # By host, then path prefix.
         self._prefix_lengths: dict[str, list[int]] = {}  # By host, without doubles, longest first.
 
@@ -153,6 +160,8 @@
     @queue_table.setter
     def queue_table(self, table: jobs_pb2.QueueTable) -> None:
         self._queue_table = table
+        self._teams = {team.name: team for team in table.teams}
+        self._team_by_key = {digest: team for team in table.teams for digest in team.key_digests}
         self._queues = {}
         for queue in table.queues:
             self._queues.setdefault(queue.host, {})[queue.path_prefix] = queue
@@ -161,6 +170,15 @@
             for host, by_prefix in self._queues.items()
         }
 
+    @property
+    def teams(self) -> Mapping[str, jobs_pb2.Team]:
+        """Return the configured teams by name."""
+        return self._teams
+
+    def find_team_by_key(self, key_digest: bytes) -> jobs_pb2.Team | None:
+        """Return the team that holds a key, or None."""
+        return self._team_by_key.get(key_digest)
+
     def add(self, message: jobs_pb2.Job) -> StoredJob:
         """Add a job."""
         job = StoredJob(message)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -10,6 +10,7 @@
 from ..cell.listeners import StateListener
 from ..cell.view import CellView
 from ..replication.replica import Replica
+from ..scheduling.admission import AdmissionControl
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
@@ -166,10 +167,18 @@
         for stored in self._view.state.job_store.jobs.values():
             if stored.is_open:
                 self._add_run(stored, is_inherited=True)
+            elif self._may_still_run(stored):
+                self._planner.teams.add_ended(stored)
         logger.info(
             "dispatching", term=self._term, workers=len(self._fleet), open_jobs=len(self._jobs)
         )
 
+    def _may_still_run(self, stored: StoredJob) -> bool:
+        """Return whether tasks of an ended job may run on under a lease of an earlier leader."""
+        age_s = (self._view.state.at_ms - stored.message.ended_ms) / 1000
+        lease_s = max(self._limits.lease_s, self._limits.max_lease_s)
+        return stored.message.state != jobs_pb2.JOB_SUCCEEDED and age_s < lease_s
+
     def _make_session(self, worker: FleetWorker) -> WorkerSession:
         return WorkerSession(
             worker,
@@ -199,6 +208,11 @@
         """Return the open jobs."""
         return self._jobs
 
+    @property
+    def admission(self) -> AdmissionControl:
+        """Return the control of submissions."""
+        return self._planner.teams.admission
+
     # Changes of the replicated state.
 
     def on_job(self, job: StoredJob) -> None:
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -24,6 +24,7 @@
 from .gateway import WorkerEndpoint
 from .leases import WorkerLease
 from .placements import AttemptKey, Placement, PlacementPhase
+from .team_usage import TeamUsage
 
 START_MARGIN_S = 1.0  # A start order is sent again for up to 0.9 s.
 MIN_SILENCE_S = 0.5  # By which a heartbeat may be late.
@@ -111,6 +112,7 @@
     missed_renewal: bool = False  # The last lease renewal was not answered.
     recovered_at: float = float("-inf")  # Last answer after an unanswered start or renewal.
     failures: Counter[JobId] = field(default_factory=Counter)  # By job, since the last success.
+    team_usage: TeamUsage = field(default_factory=TeamUsage)  # Of the whole fleet.
 
     def __post_init__(self) -> None:
         self.id = self.message.id
@@ -181,6 +183,7 @@
         """Reserve capacity for a placement."""
         self.placements[placement.attempt_key] = placement
         self.free -= placement.amounts
+        self.team_usage.add(placement.team, placement.amounts)
         self.unknown_count += not placement.is_known
 
     def release(self, placement: Placement) -> None:
@@ -188,6 +191,7 @@
         if self.placements.get(placement.attempt_key) is placement:
             del self.placements[placement.attempt_key]
             self.free += placement.amounts
+            self.team_usage.release(placement.team, placement.amounts)
             self.unknown_count -= not placement.is_known
             self.is_overfull = self.is_overfull and not NO_RESOURCES.fits_in(self.free)
         placement.phase = PlacementPhase.ENDED
@@ -297,6 +301,7 @@
     def __init__(self, heartbeats: HeartbeatLimits | None = None) -> None:
         self._heartbeats = heartbeats or HeartbeatLimits()
         self._workers: dict[str, FleetWorker] = {}
+        self._team_usage = TeamUsage()
 
     def __iter__(self) -> Iterator[FleetWorker]:
         return iter(self._workers.values())
@@ -309,6 +314,11 @@
         """Return the limits of the workers' heartbeats."""
         return self._heartbeats
 
+    @property
+    def team_usage(self) -> TeamUsage:
+        """Return what the tasks of each team take on all workers."""
+        return self._team_usage
+
     def get(self, worker_id: str) -> FleetWorker | None:
         """Return a worker, or None if it is unknown."""
         return self._workers.get(worker_id)
@@ -319,10 +329,18 @@
             message,
             capacity=make_amounts(message.capacity),
             heartbeat_timeout_s=self._heartbeats.timeout_s,
+            team_usage=self._team_usage,
         )
         self._workers[message.id] = worker
         return worker
 
+    def compute_capacity(self) -> Amounts:
+        """Return the capacity of all workers together."""
+        total = NO_RESOURCES
+        for worker in self:
+            total += worker.capacity
+        return total
+
     def may_orders_arrive_late(self, now: float) -> bool:
         """Return whether any worker recently answered again after unanswered calls."""
         return any(now - worker.recovered_at < LATE_ORDER_WINDOW_S for worker in self)
--- a/src/dewspindle/_internal/jobs/leader_services.py
+++ b/src/dewspindle/_internal/jobs/leader_services.py
@@ -97,6 +97,8 @@
             replica=self._replica,
             view=self._view,
             jobs=dispatcher.jobs,
+            admission=dispatcher.admission,
+            timers=self._timers,
             metrics=self._metrics,
         )
         self._dispatcher = dispatcher
--- a/src/dewspindle/_internal/jobs/open_jobs.py
+++ b/src/dewspindle/_internal/jobs/open_jobs.py
@@ -63,6 +63,11 @@
         key = self.find_key(task)
         return None if key is None else self._store.jobs[key[0]].get_amounts(key[1])
 
+    def find_team(self, task: TaskRef) -> str:
+        """Return the team of a task, also of a job that has ended; empty if there is none."""
+        stored = self._store.jobs.get(task.job)
+        return "" if stored is None else stored.team
+
     def count_waiting(self, queue: jobs_pb2.Queue) -> int:
         """Return how many open jobs of a queue have no task that was started."""
         return sum(
--- a/src/dewspindle/_internal/jobs/placements.py
+++ b/src/dewspindle/_internal/jobs/placements.py
@@ -48,6 +48,7 @@
     has_run: bool = False  # Its worker has confirmed the start.
     may_have_run: bool = False  # Its start order may have arrived, but was not answered.
     is_of_crashed_life: bool = False  # Its worker has crashed since.
+    team: str = ""  # Whose cap it counts against; empty if none.
 
     @property
     def attempt_key(self) -> AttemptKey:
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -17,6 +17,7 @@
 from .fleet import Fleet, FleetWorker
 from .planning_round import PlannedStart, PlanningRound
 from .runs import JobRun, StepRun, UnitRun
+from .team_work import TeamWork
 
 # Waiting gangs that have workers set aside in one round, in rank order.
 MAX_WAITING_GANGS = 8
@@ -65,12 +66,19 @@
         self._waiting: dict[StepKey, StepRun] = {}
         self._advice_planner = AdvicePlanner(advice)
         self._set_aside_before: frozenset[str] = frozenset()  # For gangs, in the last round.
+        self._teams = TeamWork(fleet=fleet, store=store)
 
     def add(self, run: JobRun) -> None:
         """Queue the waiting steps of a job."""
         for step in run.steps.values():
             if step.waiting:
                 self._waiting[step.key] = step
+        self._teams.add(run)
+
+    @property
+    def teams(self) -> TeamWork:
+        """Return the work of the teams."""
+        return self._teams
 
     def remove(self, run: JobRun) -> None:
         """Remove the steps of a job that ended."""
@@ -125,7 +133,8 @@
         """Return the units to start now."""
         now = self._timers.now()
         wall_ms = self._timers.wall_ms()
-        round_ = PlanningRound(self._fleet, now=now)
+        self._teams.begin_round(self._waiting.values(), workers_reconciled=workers_reconciled)
+        round_ = PlanningRound(self._fleet, now=now, team_caps=self._teams.caps)
         silent = [] if workers_reconciled else self._list_silent()
         for step in self._list_ready(latest_due_ms=wall_ms + early_ms, now=now):
             queue = self._store.get_current_queue(step.run.stored)
@@ -138,6 +147,7 @@
         self._set_aside_before = frozenset().union(
             *(chosen.workers for _, chosen in round_.waiting_gangs)
         )
+        self._teams.finish_round(self._waiting.values(), round_)
         return round_.starts
 
     def _list_silent(self) -> list[SilentWorker]:
@@ -183,13 +193,14 @@
         ranked.sort(key=lambda item: item[:2])
         return [step for _, _, step in ranked]
 
-    def _rank(self, step: StepRun, now: float) -> tuple[int, int, float]:
+    def _rank(self, step: StepRun, now: float) -> tuple[int, int, int, bool, float]:
         queue = step.run.stored.message.queue
         return compute_rank(
             latency_target=step.run.latency_target,
             priority=queue.priority,
             now=now,
             remaining_s=step.run.longest_paths_s[step.index],
+            standing=self._teams.get_standing(step.run.stored.message),
         )
 
     def _list_approved(
@@ -221,6 +232,8 @@
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
                 continue
+            if not round_.check_cap(step.run.stored.team, step.amounts * unit.unit.size):
+                continue
             available = [w for w in approved if round_.may_use(w.id, step)]
             admitted = self._select_admitted(step, queue, available, round_)
             chosen = None
@@ -306,9 +319,12 @@
             penalty = SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
             return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
 
+        team = step.run.stored.team
         for unit in list(step.waiting.values()) if step.run.stored.has_crashes else ():
             if not unit.is_suspect or unit.not_before > round_.now:
                 continue
+            if not round_.check_cap(team, step.amounts):
+                return
             worker = choose_for_suspect(unit, candidates, round_, score=score)
             if worker is None:
                 break
@@ -321,6 +337,8 @@
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
                 continue
+            if not round_.check_cap(team, step.amounts):
+                return
             worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
             if worker is None:
                 self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
@@ -337,6 +355,6 @@
         for worker_id in workers.values():
             worker = self._fleet.get(worker_id)
             assert worker is not None
-            round_.allocate(worker, step.amounts)
+            round_.allocate(worker, step.amounts, team=step.run.stored.team)
         self.remove_unit(unit)
         round_.starts.append(PlannedStart(unit=unit, workers=workers, tickets=tickets))
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -6,6 +6,7 @@
 
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.gang_workers import GangWorkers, Release, WorkerOutlook
+from ..scheduling.team_caps import TeamCaps
 from .fleet import Fleet, FleetWorker
 from .placements import Placement, PlacementPhase
 from .runs import StepRun, UnitRun
@@ -40,8 +41,10 @@
 class PlanningRound:
     """The capacity and workers that one planning round has allocated so far."""
 
-    def __init__(self, fleet: Fleet, *, now: float) -> None:
+    def __init__(self, fleet: Fleet, *, now: float, team_caps: TeamCaps) -> None:
         self.now = now
+        self.team_caps = team_caps
+        self.capped_teams: set[str] = set()  # Teams whose work waits for their cap.
         self.starts: list[PlannedStart] = []
         self.advice_request_count = 0
         self.waiting_gangs: list[tuple[StepRun, GangWorkers]] = []
@@ -89,9 +92,25 @@
         """Return the capacity of a worker that is still free in this round."""
         return self._free.get(worker.id, worker.free)
 
-    def allocate(self, worker: FleetWorker, amounts: Amounts) -> None:
-        """Allocate capacity of a worker."""
+    def allocate(self, worker: FleetWorker, amounts: Amounts, *, team: str) -> None:
+        """Allocate capacity of a worker to a task of a team."""
         self._free[worker.id] = self.get_free(worker) - amounts
+        self.team_caps.allocate(team, amounts)
+
+    def check_cap(self, team: str, amounts: Amounts) -> bool:
+        """Return whether a start keeps a team within its cap; record the team if it does not."""
+        if self.team_caps.allows(team, amounts):
+            return True
+        self.capped_teams.add(team)
+        return False
+
+    def sum_free(self) -> Amounts:
+        """Return the free capacity of all usable workers together."""
+        total = NO_RESOURCES
+        for worker in self._fleet:
+            if worker.is_usable(self.now):
+                total += self.get_free(worker).get_elementwise_max(NO_RESOURCES)
+        return total
 
     def make_outlook(self, worker: FleetWorker) -> WorkerOutlook:
         """Return the free capacity of a worker and when its tasks are expected to end."""
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -4,13 +4,17 @@
 from ..cell.view import CellView
 from ..models.enums import JobStatus
 from ..models.ids import JobId, is_valid_job_id
+from ..models.resources import NO_RESOURCES, Amounts, make_amounts
 from ..replication.replica import Replica
+from ..scheduling.admission import Admission, AdmissionControl
+from ..scheduling.team_caps import make_cap
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..schema.jobs_pb2 import JOB_CANCELLED, JOB_FAILED, JOB_SUCCEEDED
 from ..schema.peers_pb2 import JOB_CANCEL, JOB_READ, JOB_SUBMIT, JobAnswer, JobRequest
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
 from ..utils.refusals import Refusal
+from ..utils.timers import TimerService
 from .open_jobs import OpenJobs
 
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024  # Of a submission, where the queue table sets no limit.
@@ -25,15 +29,44 @@
 logger = get_logger(__name__)
 
 
+def compute_first_demand(spec: jobs_pb2.JobSpec) -> Amounts:
+    """Return what the tasks take that may start at once."""
+    total = NO_RESOURCES
+    for step in spec.steps:
+        if not step.depends_on:
+            total += make_amounts(step.resources) * step.count
+    return total
+
+
+def exceeds_cap(spec: jobs_pb2.JobSpec, team: jobs_pb2.Team) -> bool:
+    """Return whether a gang, or a single task, takes more than its team may ever have."""
+    cap = make_cap(team)
+    return any(
+        not (make_amounts(step.resources) * (step.count if step.gang else 1)).fits_in(cap)
+        for step in spec.steps
+    )
+
+
 class JobRequestHandler:
     """Accepts, reads and cancels jobs while this instance leads."""
 
     def __init__(
-        self, *, replica: Replica, view: CellView, jobs: OpenJobs, metrics: Metrics
+        self,
+        *,
+        replica: Replica,
+        view: CellView,
+        jobs: OpenJobs,
+        admission: AdmissionControl,
+        timers: TimerService,
+        metrics: Metrics,
     ) -> None:
         self._replica = replica
         self._store = view.state.job_store
         self._jobs = jobs
+        self._admission = admission
+        self._timers = timers
+        # A job that is resent while it is being committed must not be refused, as it will run.
+        self._committing: set[str] = set()
         self._metrics = metrics
 
     async def answer(self, request: peers_pb2.RelayJobsRequest) -> peers_pb2.RelayJobsAnswer:
@@ -45,10 +78,13 @@
             queue = self._store.find_queue(item.host, item.path)
             if queue is None:
                 answers[number] = self._refuse_without_queue(item)
-            elif item.call == JOB_SUBMIT:
-                answers[number] = self._check_submission(item, queue)
-                if answers[number] is None:
-                    submits.append(self._make_job(item, queue))
+                continue
+            team = self._store.find_team_by_key(item.key_digest)
+            answers[number] = self._check_key(item, queue, team)
+            if answers[number] is not None:
+                continue
+            if item.call == JOB_SUBMIT:
+                answers[number] = self._prepare_submission(item, queue, team, submits)
             elif item.call == JOB_CANCEL:
                 job = self._find_job(item, queue)
                 if job is not None:
@@ -59,6 +95,65 @@
                 answers[number] = self._make_answer(item)
         return peers_pb2.RelayJobsAnswer(answers=[a for a in answers if a is not None])
 
+    def _check_key(
+        self, item: JobRequest, queue: jobs_pb2.Queue, team: jobs_pb2.Team | None
+    ) -> JobAnswer | None:
+        """Return the refusal of a request whose key does not allow it, or None.
+
+        This instance leads, so its queue table is the newest: no key is refused that was just
+        added, and none is accepted whose withdrawal was acknowledged.
+        """
+        if team is None and self._store.queue_table.requires_keys and not queue.is_public:
+            return self._refuse(item, Refusal.KEY_UNKNOWN, 401)
+        job = self._find_job(item, queue)
+        if job is None or not job.team or (team is not None and team.name == job.team):
+            return None
+        if item.call == JOB_SUBMIT:
+            return self._refuse(item, Refusal.JOB_ID_IN_USE, 409)
+        return self._refuse(item, Refusal.OTHER_TEAM, 403)
+
+    def _prepare_submission(
+        self,
+        item: JobRequest,
+        queue: jobs_pb2.Queue,
+        team: jobs_pb2.Team | None,
+        submits: list[jobs_pb2.Job],
+    ) -> JobAnswer | None:
+        """Add the job to those to commit, or return the refusal of its submission."""
+        refusal = self._check_submission(item, queue)
+        if refusal is not None:
+            return refusal
+        job = self._make_job(item, queue)
+        is_new = job.id not in self._store.jobs and job.id not in self._committing
+        if team is not None and is_new:
+            refusal = self._admit(item, job, team)
+            if refusal is not None:
+                return refusal
+        submits.append(job)
+        return None
+
+    def _admit(self, item: JobRequest, job: jobs_pb2.Job, team: jobs_pb2.Team) -> JobAnswer | None:
+        """Assign a new job to its team, or return its refusal."""
+        if exceeds_cap(job.spec, team):
+            return self._refuse(item, Refusal.GANG_EXCEEDS_CAP, 429, team=team.name)
+        decision = self._admission.decide(
+            team.name,
+            weight=team.weight,
+            demand=compute_first_demand(job.spec),
+            now=self._timers.now(),
+        )
+        if decision.outcome is Admission.REFUSED:
+            return self._refuse(
+                item,
+                Refusal.BEYOND_SHARE,
+                429,
+                retry_after_ms=int(decision.retry_after_s * 1000),
+                team=team.name,
+            )
+        job.team = team.name
+        job.is_beyond_share = decision.outcome is Admission.BEYOND_SHARE
+        return None
+
     def _check_submission(self, item: JobRequest, queue: jobs_pb2.Queue) -> JobAnswer | None:
         """Return the refusal of a submission that can never be accepted, or None."""
         limit = self._store.queue_table.max_body_bytes or DEFAULT_MAX_BODY_BYTES
@@ -80,9 +175,20 @@
         new = [job for job in submits if job.id not in self._store.jobs]
         if new:
             submit = jobs_pb2.SubmitJobs(jobs=new)
-            await self._replica.propose(cell_pb2.Command(submit_jobs=submit))
+            ids = {job.id for job in new}
+            self._committing |= ids
+            try:
+                await self._replica.propose(cell_pb2.Command(submit_jobs=submit))
+            finally:
+                self._committing -= ids
             for job in new:
-                logger.info("job accepted", job=job.id, queue=job.queue.name)
+                logger.info(
+                    "job accepted",
+                    job=job.id,
+                    queue=job.queue.name,
+                    team=job.team,
+                    is_beyond_share=job.is_beyond_share,
+                )
         if cancels:
             cancel = jobs_pb2.CancelJobs(ids=cancels)
             await self._replica.propose(cell_pb2.Command(cancel_jobs=cancel))
@@ -97,7 +203,13 @@
         return self._refuse(item, Refusal.NO_QUEUE, 404)
 
     def _refuse(
-        self, item: JobRequest, refusal: Refusal, status: int, *, retry_after_ms: int = 0
+        self,
+        item: JobRequest,
+        refusal: Refusal,
+        status: int,
+        *,
+        retry_after_ms: int = 0,
+        team: str = "",
     ) -> JobAnswer:
         self._metrics.count_refusal(refusal)
         logger.info(
@@ -105,6 +217,7 @@
             path=item.path,
             call=peers_pb2.JobCall.Name(item.call),
             code=refusal.value,
+            team=team,
             queues_version=self._store.queue_table.version,
         )
         return JobAnswer(status=status, code=refusal.value, retry_after_ms=retry_after_ms)
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -82,6 +82,7 @@
             estimate_s=self.step.estimate_s,
             is_lasting=self.step.message.long_running,
             is_suspect=self.step.run.stored.count_crashes(position) > 0,
+            team=self.step.run.stored.team,
         )
         worker.add(placement)
         self.placements[position] = placement
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -261,6 +261,7 @@
                 worker=worker,
                 phase=PlacementPhase.RUNNING,
                 placed_at=self._timers.now(),
+                team=self._jobs.find_team(task),
             )
             worker.add(placement)
             self._orders.stop(
@@ -294,6 +295,7 @@
             is_lasting=unit is not None and unit.step.message.long_running,
             has_run=True,
             is_adopted=True,
+            team=self._jobs.find_team(active.task),
         )
         worker.add(placement)
         adoption = self._check_adoption(placement, unit)
--- /dev/null
+++ b/src/dewspindle/_internal/jobs/team_work.py
@@ -0,0 +1,116 @@
+"""The work of teams as the planner sees it: caps, shares, and the capacity left for others."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from ..cell.jobs import JobStore, StoredJob
+from ..models.resources import NO_RESOURCES, Amounts
+from ..scheduling.admission import AdmissionControl, sum_waiting
+from ..scheduling.job_order import NO_TEAM, TeamStanding
+from ..scheduling.team_caps import TeamCaps
+from ..schema import jobs_pb2
+from ..utils.logs import get_logger
+from .fleet import Fleet
+from .planning_round import PlanningRound
+from .runs import JobRun, StepRun, UnitRun
+
+logger = get_logger(__name__)
+
+
+class TeamWork:
+    """Makes the caps of each planning round, and tells admission what the round left over."""
+
+    def __init__(self, *, fleet: Fleet, store: JobStore) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._admission = AdmissionControl()
+        self._inherited_gangs: list[UnitRun] = []
+        # Of jobs that ended without success, whose tasks may still run on silent workers.
+        self._ended_unaccounted: dict[str, Amounts] = defaultdict(Amounts)
+        self._caps = TeamCaps(
+            {}, used={}, unaccounted={}, silent_capacity=NO_RESOURCES, capacity=NO_RESOURCES
+        )
+        self._capped_teams: frozenset[str] = frozenset()
+
+    @property
+    def admission(self) -> AdmissionControl:
+        """Return the control of submissions."""
+        return self._admission
+
+    @property
+    def caps(self) -> TeamCaps:
+        """Return the caps of the current round."""
+        return self._caps
+
+    def add(self, run: JobRun) -> None:
+        """Follow the gangs of a job that an earlier leader may have started."""
+        if not run.stored.team:
+            return
+        for step in run.steps.values():
+            if step.may_run_already and step.message.gang:
+                self._inherited_gangs.extend(step.units.values())
+
+    def add_ended(self, stored: StoredJob) -> None:
+        """Charge a team for tasks that may still run although their job has ended."""
+        if stored.team:
+            for unit in stored.layout.list_units():
+                if not stored.is_done(unit.first_position):
+                    amounts = stored.get_amounts(unit.first_position) * unit.size
+                    self._ended_unaccounted[stored.team] += amounts
+
+    def begin_round(self, waiting: Iterable[StepRun], *, workers_reconciled: bool) -> None:
+        """Compute what each team may start in a planning round."""
+        if not self._store.teams:
+            return
+        silent = NO_RESOURCES
+        unaccounted: dict[str, Amounts] = {}
+        if not workers_reconciled:
+            for worker in self._fleet:
+                if worker.may_hold_inherited_work:
+                    silent += worker.capacity
+            unaccounted = self._sum_unaccounted(waiting)
+        self._caps = TeamCaps(
+            self._store.teams,
+            used=self._fleet.team_usage.used,
+            unaccounted=unaccounted,
+            silent_capacity=silent,
+            capacity=self._fleet.compute_capacity(),
+        )
+
+    def _sum_unaccounted(self, waiting: Iterable[StepRun]) -> dict[str, Amounts]:
+        """Return what tasks may take that an earlier leader started and no worker has listed."""
+        totals = self._ended_unaccounted.copy()
+        for step in waiting:
+            team = step.run.stored.team
+            if team and step.may_run_already:
+                size = sum(unit.unit.size for unit in step.waiting.values())
+                totals[team] += step.amounts * size
+        for unit in self._inherited_gangs:
+            missing = unit.unit.size - len(unit.placements)
+            if unit.placements and missing and not unit.is_done:
+                totals[unit.step.run.stored.team] += unit.step.amounts * missing
+        return totals
+
+    def finish_round(self, waiting: Iterable[StepRun], round_: PlanningRound) -> None:
+        """Log which teams wait for their cap, and tell admission which capacity is left."""
+        capped = frozenset(round_.capped_teams)
+        if capped != self._capped_teams:
+            logger.info("teams at their cap changed", teams=sorted(capped))
+            self._capped_teams = capped
+        if not self._store.teams:
+            return
+        demand: dict[str, Amounts] = defaultdict(Amounts)
+        for step in waiting:
+            if step.waiting and step.is_ready:
+                size = sum(unit.unit.size for unit in step.waiting.values())
+                demand[step.run.stored.team] += step.amounts * size
+        rooms = {team: self._caps.get_room(team) for team in demand}
+        self._admission.update_spare(free=round_.sum_free(), waiting=sum_waiting(demand, rooms))
+
+    def get_standing(self, job: jobs_pb2.Job) -> TeamStanding:
+        """Return how a job stands against the work of other teams."""
+        team = self._store.teams.get(job.team)
+        if team is None:
+            return NO_TEAM
+        beyond = 1 + team.priority if job.is_beyond_share else 0
+        return TeamStanding(beyond, is_over_share=self._caps.is_over_share(job.team))
--- a/src/dewspindle/_internal/models/resources.py
+++ b/src/dewspindle/_internal/models/resources.py
@@ -46,6 +46,14 @@
             max(self.accelerators, other.accelerators),
         )
 
+    def get_elementwise_min(self, other: "Amounts") -> "Amounts":
+        """Return the element-wise minimum of two amounts."""
+        return Amounts(
+            min(self.processors, other.processors),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def to_message(self) -> resources_pb2.Resources:
         """Return the amounts as a message, with negative amounts set to zero."""
         return resources_pb2.Resources(
--- a/src/dewspindle/_internal/platform/client_app.py
+++ b/src/dewspindle/_internal/platform/client_app.py
@@ -14,6 +14,7 @@
 from ..models.enums import JobStatus
 from ..schema import peers_pb2
 from ..schema.peers_pb2 import JOB_CANCEL, JOB_READ, JOB_SUBMIT
+from ..utils.key_digests import compute_key_digest
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
 from ..utils.refusals import Refusal
@@ -27,11 +28,20 @@
 MIN_TIMEOUT_S = 0.05
 RETRY_AFTER_S = 1  # Approximate duration of an election.
 
+KEY_SCHEME = "token"  # Of the Authorization header, in lower case.
+
 _CALLS_BY_METHOD = {"POST": JOB_SUBMIT, "GET": JOB_READ, "DELETE": JOB_CANCEL}
 
 logger = get_logger(__name__)
 
 
+def read_key_digest(scope: Scope) -> bytes:
+    """Return the digest of the caller's key, empty if it sent none."""
+    scheme, _, key = get_header(scope, b"authorization").partition(" ")
+    key = key.strip()
+    return compute_key_digest(key) if key and scheme.lower() == KEY_SCHEME else b""
+
+
 class ClientApp:
     """Relays callers' job requests to the leader."""
 
@@ -72,6 +82,7 @@
             call=call,
             host=get_header(scope, b"host").partition(":")[0],
             path=scope["path"],
+            key_digest=read_key_digest(scope),
         )
         if call == JOB_SUBMIT:
             request.body_bytes = len(body)
--- a/src/dewspindle/_internal/platform/queue_table.py
+++ b/src/dewspindle/_internal/platform/queue_table.py
@@ -4,8 +4,10 @@
 
 from ..exceptions import InvalidDocumentError
 from ..schema import jobs_pb2
+from ..utils.key_digests import compute_key_digest
 from .fields import (
     MAX_SAFE_INTEGER,
+    is_encodable,
     parse_object,
     read_bool,
     read_list,
@@ -15,6 +17,7 @@
     read_uint,
     require_object,
 )
+from .job_bodies import decode_resources
 
 
 def decode_queue_table(body: bytes) -> jobs_pb2.QueueTable:
@@ -29,6 +32,9 @@
         table.pools.append(_decode_pool(require_object(entry, "services")))
     for entry in read_list(fields, "routes"):
         table.queues.append(_decode_queue(require_object(entry, "routes")))
+    table.requires_keys = "tenants" in fields
+    for entry in read_list(fields, "tenants"):
+        table.teams.append(_decode_team(require_object(entry, "tenants")))
     if "limits" in fields:
         limits = read_object(fields, "limits")
         table.max_body_bytes = read_uint(limits, "max_body_bytes", default=0)
@@ -57,6 +63,7 @@
         slack_factor=read_number(fields, "slack_factor", default=0.0),
         aim_ms=read_uint(fields, "target_latency_ms", default=0),
         timeout_ms=read_uint(fields, "timeout_ms"),
+        is_public=read_bool(fields, "public"),
     )
     if fields.get("advisor") is not None:
         advisor = read_object(fields, "advisor")
@@ -66,7 +73,45 @@
     return queue
 
 
+def _decode_team(fields: dict[str, Any]) -> jobs_pb2.Team:
+    """Decode a team, which the platform calls a tenant."""
+    name = read_text(fields, "name")
+    team = jobs_pb2.Team(
+        name=name,
+        weight=read_number(fields, "weight", default=0.0),
+        priority=read_uint(fields, "priority", default=0),
+    )
+    if not name:
+        raise InvalidDocumentError("a team has an empty name", field="name")
+    if fields.get("cap") is not None:
+        team.cap.CopyFrom(decode_resources(read_object(fields, "cap")))
+    for key in read_list(fields, "api_keys"):
+        if not isinstance(key, str) or not key or not is_encodable(key):
+            # The key itself must not appear in the error.
+            raise InvalidDocumentError(
+                f"team {name!r} has a key that is not a string of valid Unicode", field="api_keys"
+            )
+        team.key_digests.append(compute_key_digest(key))
+    return team
+
+
+def _check_teams(table: jobs_pb2.QueueTable) -> None:
+    team_by_key: dict[bytes, str] = {}
+    names = set()
+    for team in table.teams:
+        if team.name in names:
+            raise InvalidDocumentError(f"two teams are named {team.name!r}", field="name")
+        names.add(team.name)
+        for digest in team.key_digests:
+            owner = team_by_key.setdefault(digest, team.name)
+            if owner != team.name:
+                raise InvalidDocumentError(
+                    f"teams {owner!r} and {team.name!r} share a key", field="api_keys"
+                )
+
+
 def _check_table(table: jobs_pb2.QueueTable) -> None:
+    _check_teams(table)
     pools = {pool.name for pool in table.pools}
     locations = set()
     for queue in table.queues:
--- a/src/dewspindle/_internal/scheduling/job_order.py
+++ b/src/dewspindle/_internal/scheduling/job_order.py
@@ -36,9 +36,36 @@
         return Timeliness.OVERDUE
 
 
+@dataclass(frozen=True, slots=True)
+class TeamStanding:
+    """How the work of a team stands against that of other teams."""
+
+    # 0 for a job within the team's rate, otherwise 1 and more by the priority of the team.
+    beyond_share: int = 0
+    is_over_share: bool = False  # The team uses more of the fleet than its weight entitles it to.
+
+
+NO_TEAM = TeamStanding()
+
+
 def compute_rank(
-    *, latency_target: LatencyTarget, priority: int, now: float, remaining_s: float
-) -> tuple[int, int, float]:
-    """Return the sort key of a waiting step: timeliness, priority, end of the target latency."""
+    *,
+    latency_target: LatencyTarget,
+    priority: int,
+    now: float,
+    remaining_s: float,
+    standing: TeamStanding = NO_TEAM,
+) -> tuple[int, int, int, bool, float]:
+    """Return the sort key of a waiting step.
+
+    Jobs within their team's rate come first. Among equal timeliness and priority, teams below their
+    share of the fleet do, then the jobs whose target latency ends first.
+    """
     timeliness = latency_target.classify(now=now, remaining_s=remaining_s)
-    return (timeliness, priority, latency_target.accepted_at + latency_target.target_s)
+    return (
+        standing.beyond_share,
+        timeliness,
+        priority,
+        standing.is_over_share,
+        latency_target.accepted_at + latency_target.target_s,
+    )
--- /dev/null
+++ b/src/dewspindle/_internal/scheduling/team_caps.py
@@ -0,0 +1,100 @@
+"""Decides which starts a team's cap allows, and which teams use more than their share.
+
+Answers two loads: a team whose waiting work would fill the fleet, and a change of leader, after
+which tasks of an earlier leader run on workers that have not listed them yet.
+"""
+
+from collections.abc import Mapping
+
+from ..models.resources import NO_RESOURCES, Amounts
+from ..schema import jobs_pb2
+
+UNLIMITED = Amounts(1 << 62, 1 << 62, 1 << 62)
+
+
+def make_cap(team: jobs_pb2.Team | None) -> Amounts:
+    """Return the cap of a team; an amount of 0, or no team, sets no limit."""
+    if team is None or not team.HasField("cap"):
+        return UNLIMITED
+    cap = team.cap
+    return Amounts(
+        cap.processors or UNLIMITED.processors,
+        cap.memory_mb or UNLIMITED.memory_mb,
+        cap.accelerators or UNLIMITED.accelerators,
+    )
+
+
+def compute_dominant_share(used: Amounts, capacity: Amounts) -> float:
+    """Return the largest fraction of a resource of the fleet that is used."""
+    return max(
+        used.processors / max(1, capacity.processors),
+        used.memory_mb / max(1, capacity.memory_mb),
+        used.accelerators / max(1, capacity.accelerators),
+    )
+
+
+def compute_entitled_shares(teams: Mapping[str, jobs_pb2.Team]) -> dict[str, float]:
+    """Return each team's weight as a fraction of all weights."""
+    total = sum(team.weight for team in teams.values())
+    return {name: team.weight / total if total else 0.0 for name, team in teams.items()}
+
+
+class TeamCaps:
+    """What the teams may still start in one planning round."""
+
+    def __init__(
+        self,
+        teams: Mapping[str, jobs_pb2.Team],
+        *,
+        used: Mapping[str, Amounts],
+        unaccounted: Mapping[str, Amounts],
+        silent_capacity: Amounts,
+        capacity: Amounts,
+    ) -> None:
+        self._teams = teams
+        self._used = used
+        self._unaccounted = unaccounted  # May run on workers that have not listed their tasks.
+        self._silent_capacity = silent_capacity  # Of these workers.
+        self._capacity = capacity
+        self._entitled = compute_entitled_shares(teams)
+        self._planned: dict[str, Amounts] = {}
+        self._rooms: dict[str, Amounts] = {}
+        self._is_over_share: dict[str, bool] = {}
+
+    def get_room(self, team: str) -> Amounts:
+        """Return what the team may still start, without what this round has planned."""
+        room = self._rooms.get(team)
+        if room is None:
+            hidden = self._unaccounted.get(team, NO_RESOURCES).get_elementwise_min(
+                self._silent_capacity
+            )
+            used = self._used.get(team, NO_RESOURCES) + hidden
+            room = self._rooms[team] = make_cap(self._teams.get(team)) - used
+        return room
+
+    def allows(self, team: str, amounts: Amounts) -> bool:
+        """Return whether a start would keep the team within its cap."""
+        if team not in self._teams:
+            return True
+        planned = self._planned.get(team, NO_RESOURCES)
+        return (planned + amounts).fits_in(self.get_room(team))
+
+    def allocate(self, team: str, amounts: Amounts) -> None:
+        """Count a start that this round has planned."""
+        if team:
+            self._planned[team] = self._planned.get(team, NO_RESOURCES) + amounts
+
+    def is_over_share(self, team: str) -> bool:
+        """Return whether the team used more of the fleet than its weight entitles it to.
+
+        Without teams, or for work that belongs to none, the answer is always no.
+        """
+        is_over = self._is_over_share.get(team)
+        if is_over is None:
+            entitled = self._entitled.get(team)
+            used = self._used.get(team, NO_RESOURCES)
+            is_over = entitled is not None and (
+                compute_dominant_share(used, self._capacity) > entitled
+            )
+            self._is_over_share[team] = is_over
+        return is_over
--- a/src/dewspindle/_internal/utils/refusals.py
+++ b/src/dewspindle/_internal/utils/refusals.py
@@ -25,6 +25,10 @@
     JOB_ID_IN_USE = "job-id-in-use"
     BODY_TOO_LARGE = "body-too-large"
     NO_LEADER = "no-leader"
+    KEY_UNKNOWN = "key-unknown"
+    OTHER_TEAM = "other-team"
+    BEYOND_SHARE = "beyond-share"
+    GANG_EXCEEDS_CAP = "gang-exceeds-cap"
     # Calls.
     FENCED = "fenced"
     DRAINING = "draining"
