Add scenarios for teams and admission

Retry-After now starts at its lower bound and grows from there: before, the first returns came together.

--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,53 @@
+Feature: A team's jobs beyond its rate use spare capacity only
+
+  Scenario: A team that floods a full fleet is refused beyond its rate, and others are not
+    Given no spare capacity, and teams "large" of 40 and "small" of 2 jobs a second
+    When "large" sends 200 and "small" 2 jobs a second for 5 seconds
+    Then between 190 and 250 jobs of "large" are accepted, all of them within its share
+    And every job of "small" is accepted
+
+  Scenario: A team uses spare capacity beyond its rate
+    Given spare capacity for 50 jobs, and teams "large" of 10 and "small" of 2 jobs a second
+    When "large" sends 100 and "small" 0 jobs a second for 1 seconds
+    Then between 65 and 75 jobs of "large" are accepted, 50 of them beyond its share
+
+  # Callers that all return at once would be refused again.
+  Scenario: Refused callers return one after the other, at the rate of their team
+    Given no spare capacity, and teams "large" of 20 and "small" of 2 jobs a second
+    When "large" sends 100 and "small" 0 jobs a second for 1 seconds
+    Then no 0.5 seconds after the first return have more than 11 returns
+    And no refusal asks for more than 4 seconds
+
+  Scenario: A new leader refuses nothing before it knows its capacity
+    Given an unknown capacity, and teams "large" of 20 and "small" of 2 jobs a second
+    When "large" sends 100 and "small" 0 jobs a second for 1 seconds
+    Then every job of "large" is accepted
+
+  # The end of a burst must not be met with refusals.
+  Scenario: Jobs are accepted again as soon as capacity is spare
+    Given no spare capacity, and teams "large" of 20 and "small" of 2 jobs a second
+    When "large" sends 100 and "small" 0 jobs a second for 1 seconds
+    And capacity for 10 jobs becomes spare
+    Then the next 10 jobs of "large" are accepted
+
+  Scenario Outline: A <first> step precedes a <second> one
+    Then a <first> step ranks before a <second> one
+
+    Examples:
+      | first                        | second                         |
+      | late within-share            | timely beyond-share            |
+      | timely                       | late                           |
+      | urgent over-share            | normal under-share             |
+      | normal under-share           | normal over-share              |
+
+  # Only what a silent worker can hold is charged, so one of them does not stop a team.
+  Scenario Outline: Unaccounted tasks of a team are charged up to the capacity of silent workers
+    Given a cap of 10000, 2000 in use, <unaccounted> unaccounted and <silent> millicores on silent workers
+    Then the team may start <room> millicores
+
+    Examples:
+      | unaccounted | silent | room |
+      | 0           | 8000   | 8000 |
+      | 3000        | 8000   | 5000 |
+      | 9000        | 4000   | 4000 |
+      | 9000        | 0      | 8000 |
--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -347,6 +347,9 @@
         self.hooks: list[Callable[[str, CalledWorker, TaskRef], None]] = []
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
+        self.teams: dict[str, str] = {}  # By job, of those that belong to a team.
+        self.caps: dict[str, int] = {}  # Millicores by team.
+        self.most_used: Counter[str] = Counter()  # Millicores after any start, by team.
         self.cancelled_at: dict[str, float] = {}  # When the cancellation was acknowledged.
         # Crashed workers start again under the same id, and know nothing of before.
         self.keeps_ids = False
@@ -509,6 +512,7 @@
             self._record_broken_rule(
                 "capacity", f"{worker.id} runs {used} of {worker.capacity} after a start"
             )
+        self._check_cap(task)
         if task in self.must_not_rerun:
             self._record_broken_rule("single run", f"{task} starts after it was done")
         if order.payload != plan.spec.payload:
@@ -528,6 +532,21 @@
                     )
                     return
 
+    def _check_cap(self, started: TaskRef) -> None:
+        """Check that a start keeps a team within its cap."""
+        team = self.teams.get(started.job)
+        if team is None or team not in self.caps:
+            return
+        used = Amounts()
+        for worker in self.workers:
+            for task in worker.runs:
+                if self.teams.get(task.job) == team:
+                    step = self.plans[task.job].spec.steps[task.step]
+                    used += make_amounts(step.resources)
+        self.most_used[team] = max(self.most_used[team], used.processors)
+        if used.processors > self.caps[team]:
+            self._record_broken_rule("cap", f"team {team} runs {used} after {started} starts")
+
     def _measure(self, worker: CalledWorker) -> Amounts:
         """Return what all tasks on a worker take."""
         used = Amounts()
--- a/src/dewspindle/_internal/scheduling/admission.py
+++ b/src/dewspindle/_internal/scheduling/admission.py
@@ -56,13 +56,11 @@
 
     def choose_return(self, *, now: float, weight: float) -> float:
         """Return after which delay a refused caller returns, each one when a token is due."""
-        self._next_return_at = max(self._next_return_at, now)
-        if weight > 0:
-            self._next_return_at += 1 / weight
-        delay_s = self._next_return_at - now
-        if delay_s > MAX_RETRY_AFTER_S:
-            self._next_return_at = now + MAX_RETRY_AFTER_S
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, delay_s))
+        return_at = max(self._next_return_at, now + MIN_RETRY_AFTER_S)
+        if weight <= 0 or return_at > now + MAX_RETRY_AFTER_S:
+            return MAX_RETRY_AFTER_S
+        self._next_return_at = return_at + 1 / weight
+        return return_at - now
 
 
 def _compute_burst(weight: float) -> float:
