Name the path of an invalid field in a queue table

An invalid queue table was refused with the bare name of the field, such as 'timeout_ms', so that the entry had to be searched for among hundreds. Errors now carry the path (routes[3].timeout_ms), and a syntax error its line. The two parsers of JSON objects are one.

--- a/src/dewspindle/_internal/cli/session.py
+++ b/src/dewspindle/_internal/cli/session.py
@@ -21,11 +21,19 @@
 class Session:
     """Sends operator requests; resends those without a response, and exits if none arrives."""
 
-    def __init__(self, server: str, token: str) -> None:
+    def __init__(
+        self,
+        server: str,
+        token: str,
+        *,
+        option: str = "--server",
+        unreachable_status: ExitStatus = ExitStatus.UNREACHABLE,
+    ) -> None:
         try:
             parse_address(server)
         except ValueError as error:
-            exit_with_error(f"--server: {error}", ExitStatus.BAD_USAGE)
+            exit_with_error(f"{option}: {error}", ExitStatus.BAD_USAGE)
+        self._unreachable_status = unreachable_status
         self._server = server
         self._token = token
 
@@ -71,7 +79,7 @@
                 return anyio.run(send)
             except ServerUnreachableError as error:
                 if resend == MAX_RESENDS:
-                    exit_with_error(str(error), ExitStatus.UNREACHABLE)
+                    exit_with_error(str(error), self._unreachable_status)
         raise AssertionError
 
     async def _send(
--- a/src/dewspindle/_internal/exceptions.py
+++ b/src/dewspindle/_internal/exceptions.py
@@ -45,6 +45,10 @@
     status = 400
     hint = "send one JSON object in UTF-8"
 
+    def __init__(self, detail: str, *, line: int = 0, hint: str | None = None) -> None:
+        super().__init__(detail, hint=hint)
+        self.line = line  # Of the first syntax error; 0 if it is not known.
+
 
 class UnknownSchemaVersionError(InvalidDocumentError):
     """A record names a schema version that this program does not support."""
--- a/src/dewspindle/_internal/platform/fields.py
+++ b/src/dewspindle/_internal/platform/fields.py
@@ -1,9 +1,13 @@
 """Typed access to the fields of decoded JSON; errors name the invalid field."""
 
-import json
-from typing import Any
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, TypeVar
 
-from ..exceptions import InvalidDocumentError, MalformedBodyError
+from ..exceptions import InvalidDocumentError
+from ..utils.documents import parse_json_object
+
+T = TypeVar("T")
 
 MAX_UINT32 = 2**32 - 1  # Most integer fields of the schema messages are uint32.
 MAX_SAFE_INTEGER = 2**53  # JSON numbers, read as doubles, are exact up to this value.
@@ -11,13 +15,7 @@
 
 def parse_object(body: bytes) -> dict[str, Any]:
     """Parse a JSON object; raise `MalformedBodyError` if the body is anything else."""
-    try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise MalformedBodyError(f"the body is not JSON: {error}") from None
-    if not isinstance(value, dict):
-        raise MalformedBodyError("the body is not a JSON object")
-    return value
+    return parse_json_object(body)
 
 
 def read_text(fields: dict[str, Any], name: str, *, default: str | None = None) -> str:
@@ -97,3 +95,27 @@
             f"field {list_name!r} contains an entry that is not an object", field=list_name
         )
     return value
+
+
+@contextmanager
+def locate_errors(path: str) -> Iterator[None]:
+    """Put the path of an object before the field that an `InvalidDocumentError` names."""
+    try:
+        yield
+    except InvalidDocumentError as error:
+        error.field = f"{path}.{error.field}" if error.field else path
+        raise
+
+
+def decode_entries(
+    fields: dict[str, Any], name: str, decode: Callable[[dict[str, Any]], T]
+) -> list[T]:
+    """Decode the objects of a list; errors name the position of the invalid one."""
+    decoded = []
+    for position, entry in enumerate(read_list(fields, name)):
+        path = f"{name}[{position}]"
+        if not isinstance(entry, dict):
+            raise InvalidDocumentError(f"field {path!r} is not an object", field=path)
+        with locate_errors(path):
+            decoded.append(decode(entry))
+    return decoded
--- a/src/dewspindle/_internal/platform/queue_table.py
+++ b/src/dewspindle/_internal/platform/queue_table.py
@@ -7,7 +7,9 @@
 from ..utils.key_digests import compute_key_digest
 from .fields import (
     MAX_SAFE_INTEGER,
+    decode_entries,
     is_encodable,
+    locate_errors,
     parse_object,
     read_bool,
     read_list,
@@ -15,7 +17,6 @@
     read_object,
     read_text,
     read_uint,
-    require_object,
 )
 from .job_bodies import decode_resources
 
@@ -28,16 +29,14 @@
     )
     if table.version == 0:
         raise InvalidDocumentError("field 'version' must be at least 1", field="version")
-    for entry in read_list(fields, "services"):
-        table.pools.append(_decode_pool(require_object(entry, "services")))
-    for entry in read_list(fields, "routes"):
-        table.queues.append(_decode_queue(require_object(entry, "routes")))
+    table.pools.extend(decode_entries(fields, "services", _decode_pool))
+    table.queues.extend(decode_entries(fields, "routes", _decode_queue))
     table.requires_keys = "tenants" in fields
-    for entry in read_list(fields, "tenants"):
-        table.teams.append(_decode_team(require_object(entry, "tenants")))
+    table.teams.extend(decode_entries(fields, "tenants", _decode_team))
     if "limits" in fields:
         limits = read_object(fields, "limits")
-        table.max_body_bytes = read_uint(limits, "max_body_bytes", default=0)
+        with locate_errors("limits"):
+            table.max_body_bytes = read_uint(limits, "max_body_bytes", default=0)
     _check_table(table)
     return table
 
@@ -67,9 +66,10 @@
     )
     if fields.get("advisor") is not None:
         advisor = read_object(fields, "advisor")
-        queue.advisor.decision_ms = read_number(advisor, "decision_ms", default=0.0)
-        queue.advisor.per_worker_ms = read_number(advisor, "per_worker_ms", default=0.0)
-        queue.advisor.validity_ms = read_uint(advisor, "validity_ms", default=0)
+        with locate_errors("advisor"):
+            queue.advisor.decision_ms = read_number(advisor, "decision_ms", default=0.0)
+            queue.advisor.per_worker_ms = read_number(advisor, "per_worker_ms", default=0.0)
+            queue.advisor.validity_ms = read_uint(advisor, "validity_ms", default=0)
     return queue
 
 
@@ -84,12 +84,15 @@
     if not name:
         raise InvalidDocumentError("a team has an empty name", field="name")
     if fields.get("cap") is not None:
-        team.cap.CopyFrom(decode_resources(read_object(fields, "cap")))
-    for key in read_list(fields, "api_keys"):
+        cap = read_object(fields, "cap")
+        with locate_errors("cap"):
+            team.cap.CopyFrom(decode_resources(cap))
+    for position, key in enumerate(read_list(fields, "api_keys")):
         if not isinstance(key, str) or not key or not is_encodable(key):
             # The key itself must not appear in the error.
             raise InvalidDocumentError(
-                f"team {name!r} has a key that is not a string of valid Unicode", field="api_keys"
+                f"team {name!r} has a key that is not a string of valid Unicode",
+                field=f"api_keys[{position}]",
             )
         team.key_digests.append(compute_key_digest(key))
     return team
@@ -98,15 +101,17 @@
 def _check_teams(table: jobs_pb2.QueueTable) -> None:
     team_by_key: dict[bytes, str] = {}
     names = set()
-    for team in table.teams:
+    for number, team in enumerate(table.teams):
+        path = f"tenants[{number}]"
         if team.name in names:
-            raise InvalidDocumentError(f"two teams are named {team.name!r}", field="name")
+            raise InvalidDocumentError(f"two teams are named {team.name!r}", field=f"{path}.name")
         names.add(team.name)
-        for digest in team.key_digests:
+        for position, digest in enumerate(team.key_digests):
             owner = team_by_key.setdefault(digest, team.name)
             if owner != team.name:
                 raise InvalidDocumentError(
-                    f"teams {owner!r} and {team.name!r} share a key", field="api_keys"
+                    f"teams {owner!r} and {team.name!r} share a key",
+                    field=f"{path}.api_keys[{position}]",
                 )
 
 
@@ -114,19 +119,22 @@
     _check_teams(table)
     pools = {pool.name for pool in table.pools}
     locations = set()
-    for queue in table.queues:
+    for number, queue in enumerate(table.queues):
+        path = f"routes[{number}]"
         if queue.pool not in pools:
             raise InvalidDocumentError(
-                f"route {queue.name!r} refers to unknown service {queue.pool!r}", field="service"
+                f"route {queue.name!r} refers to unknown service {queue.pool!r}",
+                field=f"{path}.service",
             )
         if queue.timeout_ms == 0:
             raise InvalidDocumentError(
-                f"route {queue.name!r}: 'timeout_ms' must be at least 1", field="timeout_ms"
+                f"route {queue.name!r}: 'timeout_ms' must be at least 1",
+                field=f"{path}.timeout_ms",
             )
         location = (queue.host, queue.path_prefix)
         if location in locations:
             raise InvalidDocumentError(
                 f"route {queue.name!r} has the host and path prefix of another route",
-                field="path_prefix",
+                field=f"{path}.path_prefix",
             )
         locations.add(location)
--- a/src/dewspindle/_internal/utils/documents.py
+++ b/src/dewspindle/_internal/utils/documents.py
@@ -22,7 +22,8 @@
     try:
         value = json.loads(body)
     except (ValueError, RecursionError) as error:
-        raise MalformedBodyError(f"the body is not JSON: {error}") from None
+        line = error.lineno if isinstance(error, json.JSONDecodeError) else 0
+        raise MalformedBodyError(f"the body is not JSON: {error}", line=line) from None
     if not isinstance(value, dict):
         raise MalformedBodyError("the body is not a JSON object")
     return cast(dict[str, object], value)
