Check a configuration before it is sent

An operator learned of a mistake in a queue table only from its effects: a route behind another, a cap above the fleet, weights of 0, or a version that the cell accepts and ignores.

`dewspindle config check` decodes the file with the validation of the cell, then runs the checks of a registry, and compares the messages with the version in force. Checks that need workers, sample jobs or the version in force are named as not made where these are not known.

The table of codes in configuration.md is made from the registry and compared by ./run check.

--- a/docs/make_reference.py
+++ b/docs/make_reference.py
@@ -4,7 +4,14 @@
 from pathlib import Path
 
 from dewspindle._internal.cell.config_documents import get_config_names
-from dewspindle._internal.exceptions import DewspindleError
+from dewspindle._internal.config_lint.checker import DOCUMENT_HINT
+from dewspindle._internal.config_lint.formats import get_formats
+from dewspindle._internal.config_lint.registry import ANY_CONFIG, get_checks
+from dewspindle._internal.exceptions import (
+    DewspindleError,
+    InvalidDocumentError,
+    MalformedBodyError,
+)
 from dewspindle._internal.schema import options_pb2
 from dewspindle._internal.settings.loading import (
     get_environment_variable,
@@ -15,6 +22,8 @@
 from dewspindle._internal.utils.refusals import Refusal, RetryReason
 
 FOLDER = Path(__file__).parent / "operators"
+CHECKS_START = "<!-- Made from the checks by docs/make_reference.py. -->\n"
+CHECKS_END = "<!-- End of the checks. -->\n"
 
 
 def make_settings_page() -> str:
@@ -79,9 +88,44 @@
     return "\n".join(lines) + "\n"
 
 
+def make_checks_table() -> str:
+    """Return the table of the codes of the configuration check."""
+    lines = [
+        "",
+        "| code | file | severity | needs | meaning | what to do |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for error in (MalformedBodyError, InvalidDocumentError):
+        meaning = (error.__doc__ or "").strip().splitlines()[0]
+        lines.append(
+            f"| `{error.code}` | any | error | | {meaning} | {error.hint or DOCUMENT_HINT} |"
+        )
+    for check in get_checks():
+        file = "any" if check.config == ANY_CONFIG else f"`{check.config}`"
+        needs = ", ".join(need.value for need in check.needs)
+        lines.append(
+            f"| `{check.code}` | {file} | {check.severity.value} | {needs} | {check.meaning} | "
+            f"{check.hint} |"
+        )
+    lines += ["", f"Names of files: {', '.join(f'`{name}`' for name in sorted(get_formats()))}."]
+    return "\n".join(lines) + "\n\n"
+
+
+def make_configuration_page() -> str:
+    """Return the page of configurations with a new table of checks; the rest stays as it is."""
+    text = (FOLDER / "configuration.md").read_text(encoding="utf-8")
+    before, _, rest = text.partition(CHECKS_START)
+    _, _, after = rest.partition(CHECKS_END)
+    return before + CHECKS_START + make_checks_table() + CHECKS_END + after
+
+
 def main() -> int:
     """Write the pages; with `--check`, compare them instead."""
-    pages = {"settings.md": make_settings_page(), "codes.md": make_codes_page()}
+    pages = {
+        "settings.md": make_settings_page(),
+        "codes.md": make_codes_page(),
+        "configuration.md": make_configuration_page(),
+    }
     is_check = "--check" in sys.argv
     status = 0
     for name, text in pages.items():
--- a/src/dewspindle/_internal/cell/config_documents.py
+++ b/src/dewspindle/_internal/cell/config_documents.py
@@ -11,6 +11,8 @@
 from ..utils.documents import parse_document
 from .team_limits import QUOTAS_CONFIG, SCHEDULING_CONFIG
 
+CALL_LIMITS_CONFIG = "call-limits"
+
 _DOCUMENT_TYPES: dict[str, Callable[[], Message]] = {}
 
 
@@ -26,7 +28,7 @@
 
 register_config(SCHEDULING_CONFIG)(documents_pb2.SchedulingDocument)
 register_config(QUOTAS_CONFIG)(documents_pb2.QuotasDocument)
-register_config("call-limits")(documents_pb2.CallLimitsDocument)
+register_config(CALL_LIMITS_CONFIG)(documents_pb2.CallLimitsDocument)
 
 
 def get_config_names() -> list[str]:
@@ -34,8 +36,8 @@
     return sorted(_DOCUMENT_TYPES)
 
 
-def check_config(name: str, document: dict[str, Any]) -> bytes:
-    """Validate a configuration and return its stored form.
+def parse_config(name: str, document: dict[str, Any]) -> Message:
+    """Validate a configuration and return its message.
 
     Raise `NotFoundError` for an unknown name and `InvalidDocumentError` for an invalid document.
     """
@@ -44,5 +46,10 @@
         raise NotFoundError(
             f"there is no configuration {name!r}", hint=f"known: {', '.join(get_config_names())}"
         )
-    parse_document(document_type(), document)
+    return parse_document(document_type(), document)
+
+
+def check_config(name: str, document: dict[str, Any]) -> bytes:
+    """Validate a configuration as `parse_config` does and return its stored form."""
+    parse_config(name, document)
     return json.dumps(document, separators=(",", ":")).encode()
--- a/src/dewspindle/_internal/cli/session.py
+++ b/src/dewspindle/_internal/cli/session.py
@@ -4,7 +4,7 @@
 import uuid
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import anyio
 import typer
@@ -101,7 +101,7 @@
     return f"{text} ({hint})" if hint else text
 
 
-def exit_with_error(message: str, status: ExitStatus) -> None:
+def exit_with_error(message: str, status: ExitStatus) -> NoReturn:
     """Print an error message and exit with the given status; never returns."""
     print(f"dewspindle: {message}", file=sys.stderr)
     raise typer.Exit(status.value)
@@ -109,10 +109,9 @@
 
 def read_file(path: str) -> str:
     """Return the text of a file, or of standard input for `-`; exit if it is unreadable."""
-    if path == "-":
-        return sys.stdin.read()
     try:
+        if path == "-":
+            return sys.stdin.buffer.read().decode()
         return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         exit_with_error(f"unreadable-file: {path}: {error}", ExitStatus.BAD_USAGE)
-    raise AssertionError
--- a/src/dewspindle/_internal/commands/config.py
+++ b/src/dewspindle/_internal/commands/config.py
@@ -9,6 +9,7 @@
 from ..cli.options import DEFAULT_SERVER, KeyOption, OutputOption, ServerOption, TokenOption
 from ..cli.output import OutputFormat, print_json, print_rows
 from ..cli.session import Session, exit_with_error, read_file
+from .config_check import check_config_file
 
 config_app = typer.Typer(help="Show and change the cell's configuration.", no_args_is_help=True)
 
@@ -68,4 +69,5 @@
 
 def register(app: typer.Typer) -> None:
     """Register the commands."""
+    config_app.command("check")(check_config_file)
     app.add_typer(config_app, name="config")
--- /dev/null
+++ b/src/dewspindle/_internal/config_lint/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is sent to a cell."""
--- a/src/dewspindle/_internal/platform/control_app.py
+++ b/src/dewspindle/_internal/platform/control_app.py
@@ -10,7 +10,7 @@
 from ..utils.timers import TimerService
 from .asgi import ClientDisconnectedError, Receive, Scope, Send, read_body, send_bytes, send_json
 from .heartbeats import decode_born_ms, decode_heartbeat
-from .queue_table import decode_queue_table
+from .queue_table import NOT_CONFIGURED, READ_QUEUE_TABLE_PATH, decode_queue_table
 
 MAX_BODY_BYTES = 4 * 1024 * 1024  # Sufficient for a table with thousands of queues.
 HEARTBEAT_RELAY_TIMEOUT_S = 0.9  # Workers switch to another instance after 1 s without a response.
@@ -34,7 +34,7 @@
             ("POST", HEARTBEAT_PREFIX, self._handle_heartbeat),
             ("POST", DEREGISTER_PREFIX, self._handle_deregistration),
             ("POST", "/Config.Replace", self._replace_queue_table),
-            ("GET", "/Config.Read", self._read_queue_table),
+            ("GET", READ_QUEUE_TABLE_PATH, self._read_queue_table),
         ]
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -96,6 +96,6 @@
             is_idempotent=True,
         )
         if table.version == 0:
-            await send_json(send, 503, {"error": "not-configured"})
+            await send_json(send, 503, {"error": NOT_CONFIGURED})
             return
         await send_bytes(send, 200, table.document)
--- a/src/dewspindle/_internal/platform/queue_table.py
+++ b/src/dewspindle/_internal/platform/queue_table.py
@@ -20,6 +20,9 @@
 )
 from .job_bodies import decode_resources
 
+READ_QUEUE_TABLE_PATH = "/Config.Read"
+NOT_CONFIGURED = "not-configured"  # Error of a read before a table has been set.
+
 
 def decode_queue_table(body: bytes) -> jobs_pb2.QueueTable:
     """Decode and validate a queue table; raise `MalformedBodyError` or `InvalidDocumentError`."""
--- a/src/dewspindle/_internal/routing/limits.py
+++ b/src/dewspindle/_internal/routing/limits.py
@@ -6,6 +6,7 @@
 
 from google.protobuf import json_format
 
+from ..cell.config_documents import CALL_LIMITS_CONFIG
 from ..cell.view import CellView
 from ..models.enums import Priority
 from ..schema import documents_pb2, settings_pb2
@@ -13,7 +14,6 @@
 from ..utils.timers import TimerService
 from .shares import CallRefusedError
 
-CALL_LIMITS = "call-limits"
 BURST_S = 1.0  # Burst capacity, in seconds of the rate.
 
 
@@ -65,7 +65,7 @@
         self._document_revision = 0
 
     def _get_limit(self, service: str) -> documents_pb2.ServiceLimitDocument | None:
-        entry = self._view.state.config.get(CALL_LIMITS)
+        entry = self._view.state.config.get(CALL_LIMITS_CONFIG)
         if entry is not None and entry.revision != self._document_revision:
             self._document = documents_pb2.CallLimitsDocument()
             json_format.Parse(entry.value, self._document, ignore_unknown_fields=True)
