--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -348,6 +348,7 @@
         ]
         context.instances = [instance for instance, _ in programs]
         context.running = [asyncio.ensure_future(i.run()) for i in context.instances]
+        context.control_address = ports["admin"]
         context.control = JsonClient(ports["admin"])
         context.client = JsonClient(ports["client"])
 
