Report an unexpected answer of a cell as unreadable

An answer of another server, such as a 503 without JSON or a configuration without a value, would have ended the check with a traceback. It now ends with status 2 and the reason.

--- a/src/dewspindle/_internal/config_lint/formats.py
+++ b/src/dewspindle/_internal/config_lint/formats.py
@@ -52,6 +52,13 @@
     return response.body
 
 
+def _extract_stored(response: JsonResponse) -> Any:
+    body = get_ok_body(response)
+    if "value" not in body:
+        raise ServerUnreachableError("the answer holds no configuration")
+    return body["value"]
+
+
 def _register_stored_format(name: str) -> None:
     """Register a configuration that operators set with `dewspindle config set`."""
 
@@ -62,7 +69,7 @@
             decode=lambda body: parse_config(name, parse_json_object(body)),
             format_path=format_message_path,
             read_path=f"/v1/config/{name}",
-            extract=lambda response: get_ok_body(response)["value"],
+            extract=_extract_stored,
         )
 
 
--- a/src/dewspindle/_internal/platform/queue_table_format.py
+++ b/src/dewspindle/_internal/platform/queue_table_format.py
@@ -40,7 +40,8 @@
 
 
 def _extract_queue_table(response: JsonResponse) -> Any:
-    if response.status == 503 and response.body.get("error") == NOT_CONFIGURED:
+    body = response.body
+    if response.status == 503 and isinstance(body, dict) and body.get("error") == NOT_CONFIGURED:
         return None
     return get_ok_body(response)
 
