--- a/src/dewspindle/_internal/cli/session.py
+++ b/src/dewspindle/_internal/cli/session.py
@@ -4,7 +4,7 @@
 import uuid
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import anyio
 import typer
@@ -21,11 +21,19 @@
 class Session:
     """Sends operator requests; resends those without a response, and exits if none arrives."""
 
-    def __init__(self, server: str, token: str) -> None:
+    def __init__(
+        self,
+        server: str,
+        token: str,
+        *,
+        option: str = "--server",
+        unreachable_status: ExitStatus = ExitStatus.UNREACHABLE,
+    ) -> None:
         try:
             parse_address(server)
         except ValueError as error:
-            exit_with_error(f"--server: {error}", ExitStatus.BAD_USAGE)
+            exit_with_error(f"{option}: {error}", ExitStatus.BAD_USAGE)
+        self._unreachable_status = unreachable_status
         self._server = server
         self._token = token
 
@@ -71,7 +79,7 @@
                 return anyio.run(send)
             except ServerUnreachableError as error:
                 if resend == MAX_RESENDS:
-                    exit_with_error(str(error), ExitStatus.UNREACHABLE)
+                    exit_with_error(str(error), self._unreachable_status)
         raise AssertionError
 
     async def _send(
@@ -93,7 +101,7 @@
     return f"{text} ({hint})" if hint else text
 
 
-def exit_with_error(message: str, status: ExitStatus) -> None:
+def exit_with_error(message: str, status: ExitStatus) -> NoReturn:
     """Print an error message and exit with the given status; never returns."""
     print(f"dewspindle: {message}", file=sys.stderr)
     raise typer.Exit(status.value)
@@ -101,10 +109,9 @@
 
 def read_file(path: str) -> str:
     """Return the text of a file, or of standard input for `-`; exit if it is unreadable."""
-    if path == "-":
-        return sys.stdin.read()
     try:
+        if path == "-":
+            return sys.stdin.buffer.read().decode()
         return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         exit_with_error(f"unreadable-file: {path}: {error}", ExitStatus.BAD_USAGE)
-    raise AssertionError
