Predict the wait of a job at its submission

The wait is now predicted from the work that waits, by priority, against the capacity and against the starts a second of the last two seconds. Jobs beyond their team's rate are refused once they would miss their target latency; jobs within it only once they would surely be overdue, with 503 and a Retry-After.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -6,10 +6,36 @@
     Then between 190 and 250 jobs of "large" are accepted, all of them within its share
     And every job of "small" is accepted
 
+  # Its jobs within the rate take spare capacity as well.
   Scenario: A team uses spare capacity beyond its rate
     Given spare capacity for 50 jobs, and teams "large" of 10 and "small" of 2 jobs a second
     When "large" sends 100 and "small" 0 jobs a second for 1 seconds
-    Then between 65 and 75 jobs of "large" are accepted, 50 of them beyond its share
+    Then between 50 and 60 jobs of "large" are accepted, 30 or more of them beyond its share
+
+  # A long job can wait; refusing it would waste what is free later.
+  Scenario Outline: <priority> jobs <which> a team's rate are <outcome> when they would wait <wait> s
+    Given no spare capacity, and teams "large" of 10 and "small" of 2 jobs a second
+    When work waits for <urgent> s up to urgent and <wait> s up to normal priority
+    Then <priority> jobs <which> the rate of a team are <outcome>
+
+    Examples: a target latency of 4 s, of which a job runs 1 s; overdue after 12 s
+      | priority | which  | urgent | wait | outcome              |
+      | normal   | beyond | 0      | 2.5  | beyond-share         |
+      | normal   | beyond | 0      | 3.5  | refused-beyond-share |
+      | normal   | within | 0      | 10   | within-share         |
+      | normal   | within | 0      | 12   | refused-hopeless     |
+      | urgent   | within | 1      | 30   | within-share         |
+      | urgent   | within | 12     | 30   | refused-hopeless     |
+
+  Scenario Outline: The predicted wait follows the capacity or the leader's rate of starts
+    Given <tasks> waiting tasks of <run> s on 2 cores, of <cores> cores in use
+    Then at <rate> starts a second, the next job waits for <wait> s
+
+    Examples:
+      | tasks | run | cores | rate | wait |
+      | 1000  | 4   | 2000  | 500  | 4    |
+      | 1000  | 0.5 | 2000  | 500  | 2    |
+      | 20    | 0.5 | 2000  | 10   | 0.01 |
 
   # Callers that all return at once would be refused again.
   Scenario: Refused callers return one after the other, at the rate of their team
--- a/features/steps/team_steps.py
+++ b/features/steps/team_steps.py
@@ -4,6 +4,7 @@
 
 from dewspindle._internal.exceptions import NotLeaderError
 from dewspindle._internal.models.resources import NO_RESOURCES
+from dewspindle._internal.scheduling.admission import Backlog
 from dewspindle._internal.schema import jobs_pb2, peers_pb2, resources_pb2
 from dewspindle._internal.utils.key_digests import compute_key_digest
 from features.lib.job_cell import HOST, PREFIX
@@ -139,8 +140,8 @@
     put_table(context, limit_rate)
     # Leaves one token and no spare capacity, so that only the first request may be accepted anew.
     admission = context.cell.leader.job_leader_services.dispatcher.admission
-    admission.update_spare(free=NO_RESOURCES, waiting=NO_RESOURCES)
-    with mock.patch.object(admission, "update_spare"):
+    admission.update_backlog(Backlog(spare=NO_RESOURCES, waits_s=((0, 5.0),)))
+    with mock.patch.object(admission, "update_backlog"):
         for _ in range(2):
             submit(context, key, make_plan(make_step(1)))
         context.answers = submit(context, key, make_plan(make_step(1)), count=count)
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -4,9 +4,9 @@
 from ..cell.view import CellView
 from ..models.enums import JobStatus
 from ..models.ids import JobId, is_valid_job_id
-from ..models.resources import NO_RESOURCES, Amounts, make_amounts
+from ..models.resources import NO_RESOURCES, make_amounts
 from ..replication.replica import Replica
-from ..scheduling.admission import Admission, AdmissionControl
+from ..scheduling.admission import Admission, AdmissionControl, JobDemand
 from ..scheduling.team_caps import make_cap
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..schema.jobs_pb2 import JOB_CANCELLED, JOB_FAILED, JOB_SUCCEEDED
@@ -16,6 +16,7 @@
 from ..utils.refusals import Refusal
 from ..utils.timers import TimerService
 from .open_jobs import OpenJobs
+from .runs import compute_longest_paths, compute_target
 
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024  # Of a submission, where the queue table sets no limit.
 NOT_CONFIGURED_RETRY_MS = 1000  # At start-up callers may come before the first queue table.
@@ -26,16 +27,28 @@
     JOB_CANCELLED: JobStatus.CANCELLED,
 }
 
+# A team's own rate is its caller's to keep, 429; a full fleet is not, 503.
+_ADMISSION_REFUSALS = {
+    Admission.REFUSED_BEYOND_SHARE: (Refusal.BEYOND_SHARE, 429),
+    Admission.REFUSED_HOPELESS: (Refusal.OVERLOADED, 503),
+}
+
 logger = get_logger(__name__)
 
 
-def compute_first_demand(spec: jobs_pb2.JobSpec) -> Amounts:
-    """Return what the tasks take that may start at once."""
+def compute_demand(job: jobs_pb2.Job) -> JobDemand:
+    """Return what the tasks take that may start at once, and how long the job can wait."""
     total = NO_RESOURCES
-    for step in spec.steps:
+    for step in job.spec.steps:
         if not step.depends_on:
             total += make_amounts(step.resources) * step.count
-    return total
+    path_s = max(compute_longest_paths(job.spec), default=0.0)
+    return JobDemand(
+        amounts=total,
+        priority=job.queue.priority,
+        path_s=path_s,
+        target_s=compute_target(job.queue, path_s),
+    )
 
 
 def exceeds_cap(spec: jobs_pb2.JobSpec, team: jobs_pb2.Team) -> bool:
@@ -139,14 +152,15 @@
         decision = self._admission.decide(
             team.name,
             weight=team.weight,
-            demand=compute_first_demand(job.spec),
+            demand=compute_demand(job),
             now=self._timers.now(),
         )
-        if decision.outcome is Admission.REFUSED:
+        if decision.outcome in _ADMISSION_REFUSALS:
+            refusal, status = _ADMISSION_REFUSALS[decision.outcome]
             return self._refuse(
                 item,
-                Refusal.BEYOND_SHARE,
-                429,
+                refusal,
+                status,
                 retry_after_ms=int(decision.retry_after_s * 1000),
                 team=team.name,
             )
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -150,6 +150,22 @@
         )
 
 
+def compute_longest_paths(spec: jobs_pb2.JobSpec) -> list[float]:
+    """Return the estimated duration of the longest path that begins with each step."""
+    steps = spec.steps
+    paths_s = [step.estimate_ms / 1000 for step in steps]
+    for index in range(len(steps) - 1, -1, -1):
+        for earlier in steps[index].depends_on:
+            own_s = steps[earlier].estimate_ms / 1000
+            paths_s[earlier] = max(paths_s[earlier], own_s + paths_s[index])
+    return paths_s
+
+
+def compute_target(queue: jobs_pb2.Queue, critical_path_s: float) -> float:
+    """Return the target latency of a job of a queue, in seconds."""
+    return critical_path_s * queue.slack_factor + queue.aim_ms / 1000
+
+
 class JobRun:
     """The steps and units of one open job."""
 
@@ -165,11 +181,10 @@
         if is_inherited:
             for step in self.steps.values():
                 step.may_run_already = step.is_ready
-        self.longest_paths_s = self._compute_longest_paths()
-        critical_path_s = max(self.longest_paths_s, default=0.0)
+        self.longest_paths_s = compute_longest_paths(stored.message.spec)
         self.latency_target = LatencyTarget(
             accepted_at=accepted_at,
-            target_s=critical_path_s * queue.slack_factor + queue.aim_ms / 1000,
+            target_s=compute_target(queue, max(self.longest_paths_s, default=0.0)),
         )
 
     def _add_steps(self) -> None:
@@ -191,16 +206,6 @@
                 step.remaining_units += 1
                 step.waiting[unit.first_position] = unit_run
 
-    def _compute_longest_paths(self) -> list[float]:
-        """Return the estimated duration of the longest path that begins with each step."""
-        steps = self.stored.message.spec.steps
-        paths_s = [step.estimate_ms / 1000 for step in steps]
-        for index in range(len(steps) - 1, -1, -1):
-            for earlier in steps[index].depends_on:
-                own_s = steps[earlier].estimate_ms / 1000
-                paths_s[earlier] = max(paths_s[earlier], own_s + paths_s[index])
-        return paths_s
-
     def find_unit(self, position: int) -> UnitRun | None:
         """Return the unit of the task at a position, or None if the job has no such task."""
         return self._unit_by_position.get(position)
--- a/src/dewspindle/_internal/jobs/team_work.py
+++ b/src/dewspindle/_internal/jobs/team_work.py
@@ -5,7 +5,8 @@
 
 from ..cell.jobs import JobStore, StoredJob
 from ..models.resources import NO_RESOURCES, Amounts
-from ..scheduling.admission import AdmissionControl, sum_waiting
+from ..scheduling.admission import AdmissionControl
+from ..scheduling.backlog import StartRate, WaitingWork
 from ..scheduling.job_order import NO_TEAM, TeamStanding
 from ..scheduling.team_caps import TeamCaps
 from ..schema import jobs_pb2
@@ -24,6 +25,7 @@
         self._fleet = fleet
         self._store = store
         self._admission = AdmissionControl()
+        self._start_rate = StartRate()
         self._inherited_gangs: list[UnitRun] = []
         # Of jobs that ended without success, whose tasks may still run on silent workers.
         self._ended_unaccounted: dict[str, Amounts] = defaultdict(Amounts)
@@ -99,13 +101,26 @@
             self._capped_teams = capped
         if not self._store.teams:
             return
-        demand: dict[str, Amounts] = defaultdict(Amounts)
+        self._start_rate.record(sum(len(start.workers) for start in round_.starts), now=round_.now)
+        work = WaitingWork()
         for step in waiting:
-            if step.waiting and step.is_ready:
-                size = sum(unit.unit.size for unit in step.waiting.values())
-                demand[step.run.stored.team] += step.amounts * size
-        rooms = {team: self._caps.get_room(team) for team in demand}
-        self._admission.update_spare(free=round_.sum_free(), waiting=sum_waiting(demand, rooms))
+            # What waits for the cap of its own team delays no other work.
+            if step.waiting and step.run.stored.team not in capped:
+                work.add(
+                    team=step.run.stored.team,
+                    priority=step.run.stored.message.queue.priority,
+                    amounts=step.amounts,
+                    count=sum(unit.unit.size for unit in step.waiting.values()),
+                    estimate_s=step.estimate_s,
+                    is_ready=step.is_ready,
+                )
+        backlog = work.make_backlog(
+            free=round_.sum_free(),
+            capacity=self._fleet.compute_capacity(),
+            rooms={team: self._caps.get_room(team) for team in self._store.teams},
+            starts_per_s=self._start_rate.compute(now=round_.now),
+        )
+        self._admission.update_backlog(backlog)
 
     def get_standing(self, job: jobs_pb2.Job) -> TeamStanding:
         """Return how a job stands against the work of other teams."""
--- a/src/dewspindle/_internal/scheduling/admission.py
+++ b/src/dewspindle/_internal/scheduling/admission.py
@@ -1,14 +1,16 @@
-"""Decides at submission whether a team's job is within its share, or refused for load.
+"""Decides at submission whether a job is accepted, or refused for load.
 
-Answers two loads: one team that sends many times the jobs a second that it is entitled to, and a
-fleet that is full for all. Jobs beyond a team's rate only use capacity that no other work waits
-for. Jobs within it are always accepted; their order is decided when they are placed.
+Answers three loads: one team that sends many times the jobs a second that it is entitled to, a
+fleet that is full for all, and a leader that cannot start tasks as fast as they arrive. Jobs beyond
+a team's rate are accepted as long as they can be served in time. Jobs within it are refused only if
+they would surely be served too late to be of use.
 """
 
 from dataclasses import dataclass
 from enum import Enum
 
-from ..models.resources import NO_RESOURCES, Amounts
+from ..models.resources import Amounts
+from .job_order import OVERDUE_FACTOR
 
 # Jobs that a team may send at once, as seconds of its rate. Callers are independent of each other,
 # so arrivals at exactly the rate come in groups.
@@ -24,8 +26,9 @@
     """Outcome of a submission."""
 
     WITHIN_SHARE = "within-share"
-    BEYOND_SHARE = "beyond-share"  # Accepted, as there is free capacity.
-    REFUSED = "refused"
+    BEYOND_SHARE = "beyond-share"  # Accepted, as it can be served in time.
+    REFUSED_BEYOND_SHARE = "refused-beyond-share"
+    REFUSED_HOPELESS = "refused-hopeless"
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,39 +70,69 @@
     return max(MIN_BURST_JOBS, weight * BURST_S)
 
 
+@dataclass(frozen=True, slots=True)
+class JobDemand:
+    """What a submitted job takes at once, and how long it can wait."""
+
+    amounts: Amounts
+    priority: int
+    path_s: float  # Estimated duration of its longest path.
+    target_s: float  # Its target latency.
+
+
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """Accepted work that waits, and how fast it is worked off."""
+
+    spare: Amounts  # Free capacity that no waiting work takes.
+    waits_s: tuple[tuple[int, float], ...] = ()  # By priority: the wait behind all up to it.
+
+    def predict_wait(self, *, priority: int | None = None) -> float:
+        """Return the wait behind the work up to a priority, or behind all work."""
+        waits = [s for number, s in self.waits_s if priority is None or number <= priority]
+        return max(waits, default=0.0)
+
+
 class AdmissionControl:
-    """The rates of all teams and the capacity that no accepted work waits for.
+    """The rates of all teams and the accepted work that waits.
 
-    A new leader begins with full buckets and without a known capacity, and then refuses nothing.
+    A new leader begins with full buckets and without a known backlog, and then refuses nothing.
     """
 
     def __init__(self) -> None:
         self._rates: dict[str, TeamRate] = {}
+        self._backlog: Backlog | None = None
         self._spare: Amounts | None = None
 
-    def update_spare(self, *, free: Amounts, waiting: Amounts) -> None:
-        """Record the free capacity, and what the accepted work takes that waits for it."""
-        self._spare = free - waiting
+    def update_backlog(self, backlog: Backlog) -> None:
+        """Record the work that waits after a planning round."""
+        self._backlog = backlog
+        self._spare = backlog.spare
 
-    def decide(self, team: str, *, weight: float, demand: Amounts, now: float) -> AdmissionDecision:
-        """Decide on a job of a team that takes an amount at once."""
+    def decide(
+        self, team: str, *, weight: float, demand: JobDemand, now: float
+    ) -> AdmissionDecision:
+        """Decide on a job of a team."""
         rate = self._rates.get(team)
         if rate is None:
             rate = self._rates[team] = TeamRate(now=now, weight=weight)
-        if rate.try_take(now=now, weight=weight):
-            return AdmissionDecision(Admission.WITHIN_SHARE)
-        if self._spare is None or demand.fits_in(self._spare):
-            self._spare = None if self._spare is None else self._spare - demand
+        is_within = rate.try_take(now=now, weight=weight)
+        if self._backlog is None or self._spare is None:
+            return AdmissionDecision(_ACCEPTED[is_within])
+        if demand.amounts.fits_in(self._spare):
+            self._spare -= demand.amounts
+            return AdmissionDecision(_ACCEPTED[is_within])
+        if is_within:
+            wait_s = self._backlog.predict_wait(priority=demand.priority)
+            latest_s = demand.target_s * OVERDUE_FACTOR - demand.path_s
+            if wait_s <= latest_s:
+                return AdmissionDecision(Admission.WITHIN_SHARE)
+            retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s - latest_s))
+            return AdmissionDecision(Admission.REFUSED_HOPELESS, retry_after_s)
+        if self._backlog.predict_wait() <= demand.target_s - demand.path_s:
             return AdmissionDecision(Admission.BEYOND_SHARE)
         retry_after_s = rate.choose_return(now=now, weight=weight)
-        return AdmissionDecision(Admission.REFUSED, retry_after_s)
+        return AdmissionDecision(Admission.REFUSED_BEYOND_SHARE, retry_after_s)
 
 
-def sum_waiting(waiting: dict[str, Amounts], rooms: dict[str, Amounts]) -> Amounts:
-    """Return what waiting work can take at most, each team within what its cap leaves."""
-    total = NO_RESOURCES
-    for team, amounts in waiting.items():
-        room = rooms.get(team)
-        usable = amounts if room is None else amounts.get_elementwise_min(room)
-        total += usable.get_elementwise_max(NO_RESOURCES)
-    return total
+_ACCEPTED = {True: Admission.WITHIN_SHARE, False: Admission.BEYOND_SHARE}
--- a/src/dewspindle/_internal/utils/refusals.py
+++ b/src/dewspindle/_internal/utils/refusals.py
@@ -28,6 +28,7 @@
     KEY_UNKNOWN = "key-unknown"
     OTHER_TEAM = "other-team"
     BEYOND_SHARE = "beyond-share"
+    OVERLOADED = "overloaded"
     GANG_EXCEEDS_CAP = "gang-exceeds-cap"
     # Calls.
     FENCED = "fenced"
