Log what each team at its cap uses and waits for, once a second

The set of teams at their cap was logged at each change of it, which is up to once a round while a team starts and ends tasks at its cap, and without numbers. The line now names one team, its cap, what it uses with the starts of the round, what it is charged for unlisted tasks, and what waits.

--- a/src/dewspindle/_internal/jobs/team_work.py
+++ b/src/dewspindle/_internal/jobs/team_work.py
@@ -1,19 +1,22 @@
 """The work of teams as the planner sees it: caps, shares, and the capacity left for others."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ..cell.jobs import JobStore, StoredJob
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.admission import AdmissionControl, sum_waiting
 from ..scheduling.job_order import NO_TEAM, TeamStanding
-from ..scheduling.team_caps import TeamCaps
+from ..scheduling.team_caps import TeamCaps, describe_cap
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from .fleet import Fleet
 from .planning_round import PlanningRound
 from .runs import JobRun, StepRun, UnitRun
 
+# Between two log lines on one team: rounds are up to 100 a second, and a team may wait for long.
+CAP_LOG_INTERVAL_S = 1.0
+
 logger = get_logger(__name__)
 
 
@@ -31,6 +34,7 @@
             {}, used={}, unaccounted={}, silent_capacity=NO_RESOURCES, capacity=NO_RESOURCES
         )
         self._capped_teams: frozenset[str] = frozenset()
+        self._cap_logged_at: dict[str, float] = {}
 
     @property
     def admission(self) -> AdmissionControl:
@@ -42,6 +46,11 @@
         """Return the caps of the current round."""
         return self._caps
 
+    @property
+    def capped_teams(self) -> frozenset[str]:
+        """Return the teams whose steps waited for their cap in the last round."""
+        return self._capped_teams
+
     def add(self, run: JobRun) -> None:
         """Follow the gangs of a job that an earlier leader may have started."""
         if not run.stored.team:
@@ -93,10 +102,7 @@
 
     def finish_round(self, waiting: Iterable[StepRun], round_: PlanningRound) -> None:
         """Log which teams wait for their cap, and tell admission which capacity is left."""
-        capped = frozenset(round_.capped_teams)
-        if capped != self._capped_teams:
-            logger.info("teams at their cap changed", teams=sorted(capped))
-            self._capped_teams = capped
+        self._capped_teams = frozenset(round_.capped_teams)
         if not self._store.teams:
             return
         demand: dict[str, Amounts] = defaultdict(Amounts)
@@ -106,6 +112,22 @@
                 demand[step.run.stored.team] += step.amounts * size
         rooms = {team: self._caps.get_room(team) for team in demand}
         self._admission.update_spare(free=round_.sum_free(), waiting=sum_waiting(demand, rooms))
+        self._log_capped(demand, now=round_.now)
+
+    def _log_capped(self, demand: Mapping[str, Amounts], *, now: float) -> None:
+        """Log what the teams at their cap use and wait for, at intervals for each team."""
+        recent = {t: at for t, at in self._cap_logged_at.items() if now - at < CAP_LOG_INTERVAL_S}
+        due = sorted(self._capped_teams - recent.keys())
+        self._cap_logged_at = recent | dict.fromkeys(due, now)
+        for team in due:
+            logger.info(
+                "steps wait for their team's cap",
+                team=team,
+                cap=describe_cap(self._store.teams.get(team)),
+                used=str(self._fleet.team_usage.get(team) + self._caps.get_planned(team)),
+                unaccounted=str(self._caps.get_unaccounted(team)),
+                waiting=str(demand.get(team, NO_RESOURCES)),
+            )
 
     def get_standing(self, job: jobs_pb2.Job) -> TeamStanding:
         """Return how a job stands against the work of other teams."""
--- a/src/dewspindle/_internal/scheduling/team_caps.py
+++ b/src/dewspindle/_internal/scheduling/team_caps.py
@@ -5,8 +5,9 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import asdict
 
-from ..models.resources import NO_RESOURCES, Amounts
+from ..models.resources import NO_RESOURCES, Amounts, make_amounts
 from ..schema import jobs_pb2
 
 UNLIMITED = Amounts(1 << 62, 1 << 62, 1 << 62)
@@ -24,6 +25,14 @@
     )
 
 
+def describe_cap(team: jobs_pb2.Team | None) -> dict[str, int]:
+    """Return the amounts that a team's cap limits."""
+    if team is None:
+        return {}
+    limits = asdict(make_amounts(team.cap))
+    return {name: limit for name, limit in limits.items() if limit}
+
+
 def compute_dominant_share(used: Amounts, capacity: Amounts) -> float:
     """Return the largest fraction of a resource of the fleet that is used."""
     return max(
@@ -61,28 +70,33 @@
         self._rooms: dict[str, Amounts] = {}
         self._is_over_share: dict[str, bool] = {}
 
+    def get_unaccounted(self, team: str) -> Amounts:
+        """Return what the team is charged for tasks that no worker has listed."""
+        unaccounted = self._unaccounted.get(team, NO_RESOURCES)
+        return unaccounted.get_elementwise_min(self._silent_capacity)
+
     def get_room(self, team: str) -> Amounts:
         """Return what the team may still start, without what this round has planned."""
         room = self._rooms.get(team)
         if room is None:
-            hidden = self._unaccounted.get(team, NO_RESOURCES).get_elementwise_min(
-                self._silent_capacity
-            )
-            used = self._used.get(team, NO_RESOURCES) + hidden
+            used = self._used.get(team, NO_RESOURCES) + self.get_unaccounted(team)
             room = self._rooms[team] = make_cap(self._teams.get(team)) - used
         return room
 
+    def get_planned(self, team: str) -> Amounts:
+        """Return what this round starts for the team."""
+        return self._planned.get(team, NO_RESOURCES)
+
     def allows(self, team: str, amounts: Amounts) -> bool:
         """Return whether a start would keep the team within its cap."""
         if team not in self._teams:
             return True
-        planned = self._planned.get(team, NO_RESOURCES)
-        return (planned + amounts).fits_in(self.get_room(team))
+        return (self.get_planned(team) + amounts).fits_in(self.get_room(team))
 
     def allocate(self, team: str, amounts: Amounts) -> None:
         """Count a start that this round has planned."""
         if team:
-            self._planned[team] = self._planned.get(team, NO_RESOURCES) + amounts
+            self._planned[team] = self.get_planned(team) + amounts
 
     def is_over_share(self, team: str) -> bool:
         """Return whether the team used more of the fleet than its weight entitles it to.
