Serve the leader's views of teams and interference, with commands

Operators could not see why a team's jobs waited or were refused: nothing told its share, its work or the decisions on its submissions.

The leader answers GET /v1/teams and GET /v1/interference at its metrics address. Other replicas answer 503 with the leader's metrics address, which `dewspindle teams` and `dewspindle interference` follow once. Counters of submissions are kept for each configured team during a term, and exported with 32 labels of teams at most. The view of interference serves whatever the planner's model describes, and an empty list while the planner has none.

--- a/features/steps/job_request_steps.py
+++ b/features/steps/job_request_steps.py
@@ -14,11 +14,12 @@
 JOB_ID = "00000000000000aa"
 
 
-def send(context, call, path, *, body_bytes=0):
+def send(context, call, path, *, body_bytes=0, key_digest=b""):
     """Send a request to the leader and return its answer."""
-    plan = make_plan(make_step(1))
-    context.cell.fleet.plans.setdefault(path.rpartition("/")[2], plan)
-    request = peers_pb2.JobRequest(call=call, host=HOST, path=path, body_bytes=body_bytes)
+    plan = context.cell.fleet.plans.setdefault(path.rpartition("/")[2], make_plan(make_step(1)))
+    request = peers_pb2.JobRequest(
+        call=call, host=HOST, path=path, body_bytes=body_bytes, key_digest=key_digest
+    )
     if call == peers_pb2.JOB_SUBMIT:
         request.spec.CopyFrom(plan.spec)
     answers = []
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -335,6 +335,11 @@
         f"bind_addrs.readiness={ports['ready']}",
     ]
 
+    # Each instance serves its metrics on its own IP number.
+    context.metrics_addresses = [
+        reserve_address().replace("127.0.0.1", ip) for ip in ("127.0.0.1", "127.0.0.2")
+    ]
+
     async def begin():
         metrics = Metrics(instance="i", zone="z")
         random.seed(1)
@@ -342,9 +347,14 @@
             make(
                 decode_platform_settings("\n".join([*common, *lines])),
                 metrics,
-                metrics_port=int(reserve_address().rpartition(":")[2]),
+                metrics_port=int(address.rpartition(":")[2]),
+            )
+            for make, lines, address in zip(
+                (make_replica, make_entry_instance),
+                (cell, entry),
+                context.metrics_addresses,
+                strict=True,
             )
-            for make, lines in ((make_replica, cell), (make_entry_instance, entry))
         ]
         context.instances = [instance for instance, _ in programs]
         context.running = [asyncio.ensure_future(i.run()) for i in context.instances]
--- a/src/dewspindle/_internal/cli/options.py
+++ b/src/dewspindle/_internal/cli/options.py
@@ -26,4 +26,14 @@
     typer.Option("--key", help="Idempotency key for a safe resend; generated if not given."),
 ]
 
+ReplicaOption = Annotated[
+    str,
+    typer.Option(
+        "--server",
+        envvar="DEWSPINDLE_METRICS_SERVER",
+        help="Metrics address of any replica of a job cell, IP:PORT.",
+    ),
+]
+
 DEFAULT_SERVER = "127.0.0.1:8081"
+DEFAULT_REPLICA = "127.0.0.1:9310"
--- a/src/dewspindle/_internal/cli/output.py
+++ b/src/dewspindle/_internal/cli/output.py
@@ -45,6 +45,18 @@
     return "" if value is None else str(value)
 
 
+def print_records(value: Any, title: str = "") -> None:
+    """Print a value of unknown layout: lists of objects as tables, all else as named lines."""
+    if isinstance(value, dict):
+        for name, item in value.items():
+            print_records(item, name)
+    elif isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        print(f"{title.replace('_', ' ')}:")
+        print_table(value, list(dict.fromkeys(name for item in value for name in item)))
+    else:
+        print(f"{title.replace('_', ' ')}: {_format_cell(value) or 'none'}")
+
+
 def print_rows(value: Any, output: OutputFormat, *, rows: str, columns: Sequence[str]) -> None:
     """Print a list of rows, held by a response under the key `rows`, as a table or JSON."""
     if output is OutputFormat.JSON:
--- a/src/dewspindle/_internal/cli/session.py
+++ b/src/dewspindle/_internal/cli/session.py
@@ -84,6 +84,21 @@
             await client.close()
 
 
+def read_leader_view(server: str, path: str) -> dict[str, Any]:
+    """Return a view of the leader of a job cell, by way of any of its replicas; exit if refused."""
+    response = Session(server, "").try_request("GET", path)
+    if response.status == 503 and isinstance(response.body, dict):
+        leader = response.body.get("leader_address")
+        if leader:
+            response = Session(leader, "").try_request("GET", path)
+    if response.status >= 400:
+        exit_with_error(describe_problem(response), ExitStatus.FAILED)
+    if not isinstance(response.body, dict):
+        message = f"{server} does not serve {path} (name the metrics address of a replica)"
+        exit_with_error(message, ExitStatus.FAILED)
+    return dict(response.body)
+
+
 def describe_problem(response: JsonResponse) -> str:
     """Format a problem response as one line."""
     if not isinstance(response.body, dict):
--- a/src/dewspindle/_internal/exceptions.py
+++ b/src/dewspindle/_internal/exceptions.py
@@ -135,6 +135,13 @@
     status = 503
 
 
+class MethodNotAllowedError(DewspindleError):
+    """A request has a method that its path does not support."""
+
+    code = "method-not-allowed"
+    status = 405
+
+
 class OutcomeUnknownError(DewspindleError):
     """A change was proposed, but it is not known whether it was committed."""
 
--- a/src/dewspindle/_internal/http/problems.py
+++ b/src/dewspindle/_internal/http/problems.py
@@ -31,11 +31,25 @@
     send: Send, error: DewspindleError, *, extra_headers: list[tuple[bytes, bytes]] | None = None
 ) -> None:
     """Send a problem response over ASGI."""
-    body = json.dumps(make_problem(error)).encode()
+    await send_value(
+        send, error.status, make_problem(error), media_type=MEDIA_TYPE, extra_headers=extra_headers
+    )
+
+
+async def send_value(
+    send: Send,
+    status: int,
+    value: Any,
+    *,
+    media_type: str = "application/json",
+    extra_headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Send a response with a JSON body over ASGI."""
+    body = json.dumps(value).encode()
     headers = [
-        (b"content-type", MEDIA_TYPE.encode()),
+        (b"content-type", media_type.encode()),
         (b"content-length", str(len(body)).encode()),
         *(extra_headers or []),
     ]
-    await send({"type": "http.response.start", "status": error.status, "headers": headers})
+    await send({"type": "http.response.start", "status": status, "headers": headers})
     await send({"type": "http.response.body", "body": body})
--- a/src/dewspindle/_internal/job_replica.py
+++ b/src/dewspindle/_internal/job_replica.py
@@ -93,6 +93,16 @@
         """Return the known addresses of replicas, to which the program adds changed seeds."""
         return self._address_book
 
+    @property
+    def leader_services(self) -> JobLeaderServices:
+        """Return the services that run while this replica leads."""
+        return self._leader_services
+
+    def find_other_leader(self) -> str:
+        """Return the peer address of the last known leader, empty if it is this replica."""
+        address = self._view.leader_address
+        return "" if address == self._settings.peer_address else address
+
     def add_server(self, server: HttpServer) -> None:
         """Add an HTTP server that runs with the instance."""
         self._servers.append(server)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -208,6 +208,16 @@
         """Return the open jobs."""
         return self._jobs
 
+    @property
+    def fleet(self) -> Fleet:
+        """Return the called workers."""
+        return self._fleet
+
+    @property
+    def planner(self) -> JobPlanner:
+        """Return the planner of the waiting steps."""
+        return self._planner
+
     @property
     def admission(self) -> AdmissionControl:
         """Return the control of submissions."""
--- a/src/dewspindle/_internal/jobs/leader_services.py
+++ b/src/dewspindle/_internal/jobs/leader_services.py
@@ -1,5 +1,7 @@
 """Services of the leader of a job cell, and the requests that only it answers."""
 
+from typing import Any
+
 import anyio
 
 from ..cell.view import CellView
@@ -19,7 +21,10 @@
 from .dispatcher import DispatchLimits, JobDispatcher
 from .gateway import WorkerGateway
 from .helper_registry import HelperRegistry
+from .leader_views import LeaderState, View
 from .request_handler import JobRequestHandler
+from .status_report import TeamReporter
+from .team_counters import TeamCounters
 
 logger = get_logger(__name__)
 
@@ -52,6 +57,7 @@
         self._members = MembershipManager(replica)
         self._dispatcher: JobDispatcher | None = None
         self._request_handler: JobRequestHandler | None = None
+        self._state: LeaderState | None = None
 
     @property
     def dispatcher(self) -> JobDispatcher | None:
@@ -93,11 +99,26 @@
             term=leadership.term,
             inherited_state_at=leadership.inherited_state_at,
         )
+        store = self._view.state.job_store
+        counters = TeamCounters(store=store, timers=self._timers, metrics=self._metrics)
+        self._state = LeaderState(
+            leadership.term,
+            dispatcher,
+            TeamReporter(
+                store=store,
+                fleet=dispatcher.fleet,
+                jobs=dispatcher.jobs,
+                teams=dispatcher.planner.teams,
+                counters=counters,
+                timers=self._timers,
+            ),
+        )
         self._request_handler = JobRequestHandler(
             replica=self._replica,
             view=self._view,
             jobs=dispatcher.jobs,
             admission=dispatcher.admission,
+            counters=counters,
             timers=self._timers,
             metrics=self._metrics,
         )
@@ -111,6 +132,7 @@
         finally:
             self._dispatcher = None
             self._request_handler = None
+            self._state = None
 
     async def _run_dispatcher(self, dispatcher: JobDispatcher, leadership: Leadership) -> None:
         """Run the dispatcher; a proposal that fails on loss of leadership only ends the term."""
@@ -125,6 +147,13 @@
         if not self._replica.may_act_as_leader:
             raise NotLeaderError("this replica may not act as the leader")
 
+    def make_view(self, view: View) -> Any:
+        """Return a view of the current term; raise `NotLeaderError` if this replica leads none."""
+        self._require_leadership()
+        if self._state is None:
+            raise NotLeaderError("this replica has not started its dispatcher")
+        return view(self._state)
+
     async def _propose(self, request: peers_pb2.ProposeRequest) -> cell_pb2.Result:
         """Commit a change that this or another instance proposed."""
         return await self._replica.propose(cell_pb2.Command.FromString(request.command))
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -16,6 +16,7 @@
 from ..utils.refusals import Refusal
 from ..utils.timers import TimerService
 from .open_jobs import OpenJobs
+from .team_counters import TeamCounters
 
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024  # Of a submission, where the queue table sets no limit.
 NOT_CONFIGURED_RETRY_MS = 1000  # At start-up callers may come before the first queue table.
@@ -57,6 +58,7 @@
         view: CellView,
         jobs: OpenJobs,
         admission: AdmissionControl,
+        counters: TeamCounters,
         timers: TimerService,
         metrics: Metrics,
     ) -> None:
@@ -64,6 +66,7 @@
         self._store = view.state.job_store
         self._jobs = jobs
         self._admission = admission
+        self._counters = counters
         self._timers = timers
         # A job that is resent while it is being committed must not be refused, as it will run.
         self._committing: set[str] = set()
@@ -135,7 +138,7 @@
     def _admit(self, item: JobRequest, job: jobs_pb2.Job, team: jobs_pb2.Team) -> JobAnswer | None:
         """Assign a new job to its team, or return its refusal."""
         if exceeds_cap(job.spec, team):
-            return self._refuse(item, Refusal.GANG_EXCEEDS_CAP, 429, team=team.name)
+            return self._refuse(item, Refusal.GANG_EXCEEDS_CAP, 429)
         decision = self._admission.decide(
             team.name,
             weight=team.weight,
@@ -143,13 +146,8 @@
             now=self._timers.now(),
         )
         if decision.outcome is Admission.REFUSED:
-            return self._refuse(
-                item,
-                Refusal.BEYOND_SHARE,
-                429,
-                retry_after_ms=int(decision.retry_after_s * 1000),
-                team=team.name,
-            )
+            retry_after_ms = int(decision.retry_after_s * 1000)
+            return self._refuse(item, Refusal.BEYOND_SHARE, 429, retry_after_ms=retry_after_ms)
         job.team = team.name
         job.is_beyond_share = decision.outcome is Admission.BEYOND_SHARE
         return None
@@ -182,6 +180,7 @@
             finally:
                 self._committing -= ids
             for job in new:
+                self._counters.count_accepted(job.team, is_beyond_share=job.is_beyond_share)
                 logger.info(
                     "job accepted",
                     job=job.id,
@@ -209,15 +208,18 @@
         status: int,
         *,
         retry_after_ms: int = 0,
-        team: str = "",
     ) -> JobAnswer:
+        team = self._store.find_team_by_key(item.key_digest)
+        name = "" if team is None else team.name  # Of the caller.
         self._metrics.count_refusal(refusal)
+        self._counters.count_refused(name, refusal)
         logger.info(
             "request refused",
             path=item.path,
             call=peers_pb2.JobCall.Name(item.call),
             code=refusal.value,
-            team=team,
+            team=name,
+            retry_after_ms=retry_after_ms,
             queues_version=self._store.queue_table.version,
         )
         return JobAnswer(status=status, code=refusal.value, retry_after_ms=retry_after_ms)
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -3,6 +3,7 @@
 import random
 
 from ..exceptions import InvalidSettingError
+from ..http.leader_views_app import LeaderViewsApp
 from ..http.server import HttpServer
 from ..job_instance import JobInstance
 from ..job_replica import JobReplicaInstance
@@ -10,6 +11,7 @@
 from ..jobs.fleet import HeartbeatLimits
 from ..network.pooled_client import PooledJsonClient
 from ..replication.address_book import AddressBook
+from ..utils.addresses import Address, parse_address
 from ..utils.metrics import Metrics
 from ..utils.timers import SystemTimerService
 from .advisor_client import make_advisor_client
@@ -31,6 +33,11 @@
     )
 
 
+def replace_port(address: str, port: int) -> str:
+    """Return an address with another port, as all replicas use the same ports."""
+    return str(Address(parse_address(address).host, port)) if address else ""
+
+
 def make_replica(
     platform: PlatformSettings, metrics: Metrics, *, metrics_port: int = METRICS_PORT
 ) -> tuple[JobInstance, AddressBook]:
@@ -59,5 +66,10 @@
     )
     app = ControlApp(leader=instance.leader, timers=timers)
     instance.add_server(HttpServer(app, address=platform.control_address))
-    instance.add_server(HttpServer(MetricsApp(metrics), address=f"{platform.ip}:{metrics_port}"))
+    views = LeaderViewsApp(
+        MetricsApp(metrics),
+        make_view=instance.leader_services.make_view,
+        find_leader=lambda: replace_port(instance.find_other_leader(), metrics_port),
+    )
+    instance.add_server(HttpServer(views, address=f"{platform.ip}:{metrics_port}"))
     return instance, instance.address_book
--- a/src/dewspindle/_internal/utils/metrics.py
+++ b/src/dewspindle/_internal/utils/metrics.py
@@ -11,6 +11,10 @@
 
 MAX_EARLY_VALUES = 10_000  # Values of histograms that are kept until then; later ones are dropped.
 
+# Teams with a label of their own; each label is a time series, which the scraper keeps for weeks.
+MAX_TEAM_LABELS = 32
+OTHER_TEAMS = "other"
+
 Labels = tuple[tuple[str, str], ...]
 
 
@@ -27,6 +31,7 @@
         self._instruments: Instruments | None = None
         self._early_counts: Counter[tuple[str, Labels]] = Counter()
         self._early_values: list[tuple[str, float, dict[str, str]]] = []
+        self._labeled_teams: set[str] = set()
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter, creating it on first use."""
@@ -39,6 +44,22 @@
         """Increment the refusal counter of a reason."""
         self.count("dewspindle_refusals", reason=refusal.value)
 
+    def count_team_job(self, team: str, *, is_beyond_share: bool) -> None:
+        """Increment the counter of a team's accepted jobs."""
+        share = "beyond" if is_beyond_share else "within"
+        self.count("dewspindle_team_jobs", team=self._choose_team_label(team), share=share)
+
+    def count_team_refusal(self, team: str, refusal: Refusal) -> None:
+        """Increment the refusal counter of a team and reason."""
+        label = self._choose_team_label(team)
+        self.count("dewspindle_team_refusals", team=label, reason=refusal.value)
+
+    def _choose_team_label(self, team: str) -> str:
+        """Return the name of one of the first teams counted, or the label of the rest."""
+        if len(self._labeled_teams) < MAX_TEAM_LABELS:
+            self._labeled_teams.add(team)
+        return team if team in self._labeled_teams else OTHER_TEAMS
+
     def count_retry(self, reason: RetryReason) -> None:
         """Increment the retry counter of a reason."""
         self.count("dewspindle_retries", reason=reason.value)
