--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -147,7 +147,7 @@
         self._set_aside_before = frozenset().union(
             *(chosen.workers for _, chosen in round_.waiting_gangs)
         )
-        self._teams.finish_round(self._waiting.values(), round_)
+        self._teams.finish_round(self._waiting.values(), round_, latest_due_ms=wall_ms + early_ms)
         return round_.starts
 
     def _list_silent(self) -> list[SilentWorker]:
--- a/src/dewspindle/_internal/jobs/team_work.py
+++ b/src/dewspindle/_internal/jobs/team_work.py
@@ -1,20 +1,23 @@
 """The work of teams as the planner sees it: caps, shares, and the capacity left for others."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from ..cell.jobs import JobStore, StoredJob
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.admission import AdmissionControl
 from ..scheduling.backlog import StartRate, WaitingWork
 from ..scheduling.job_order import NO_TEAM, TeamStanding
-from ..scheduling.team_caps import TeamCaps
+from ..scheduling.team_caps import TeamCaps, describe_cap
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from .fleet import Fleet
 from .planning_round import PlanningRound
 from .runs import JobRun, StepRun, UnitRun
 
+# Between two log lines on one team: rounds are up to 100 a second, and a team may wait for long.
+CAP_LOG_INTERVAL_S = 1.0
+
 logger = get_logger(__name__)
 
 
@@ -33,6 +36,7 @@
             {}, used={}, unaccounted={}, silent_capacity=NO_RESOURCES, capacity=NO_RESOURCES
         )
         self._capped_teams: frozenset[str] = frozenset()
+        self._cap_logged_at: dict[str, float] = {}
 
     @property
     def admission(self) -> AdmissionControl:
@@ -44,6 +48,11 @@
         """Return the caps of the current round."""
         return self._caps
 
+    @property
+    def capped_teams(self) -> frozenset[str]:
+        """Return the teams whose steps waited for their cap in the last round."""
+        return self._capped_teams
+
     def add(self, run: JobRun) -> None:
         """Follow the gangs of a job that an earlier leader may have started."""
         if not run.stored.team:
@@ -93,27 +102,33 @@
                 totals[unit.step.run.stored.team] += unit.step.amounts * missing
         return totals
 
-    def finish_round(self, waiting: Iterable[StepRun], round_: PlanningRound) -> None:
+    def finish_round(
+        self, waiting: Iterable[StepRun], round_: PlanningRound, *, latest_due_ms: int
+    ) -> None:
         """Log which teams wait for their cap, and tell admission which capacity is left."""
-        capped = frozenset(round_.capped_teams)
-        if capped != self._capped_teams:
-            logger.info("teams at their cap changed", teams=sorted(capped))
-            self._capped_teams = capped
+        self._capped_teams = frozenset(round_.capped_teams)
         if not self._store.teams:
             return
         self._start_rate.record(sum(len(start.workers) for start in round_.starts), now=round_.now)
         work = WaitingWork()
+        capped: dict[str, Amounts] = defaultdict(Amounts)
         for step in waiting:
+            if not step.waiting or step.run.get_due_ms(step.occurrence) > latest_due_ms:
+                continue
+            count = sum(unit.unit.size for unit in step.waiting.values())
+            team = step.run.stored.team
             # What waits for the cap of its own team delays no other work.
-            if step.waiting and step.run.stored.team not in capped:
-                work.add(
-                    team=step.run.stored.team,
-                    priority=step.run.stored.message.queue.priority,
-                    amounts=step.amounts,
-                    count=sum(unit.unit.size for unit in step.waiting.values()),
-                    estimate_s=step.estimate_s,
-                    is_ready=step.is_ready,
-                )
+            if team in self._capped_teams:
+                capped[team] += step.amounts * count if step.is_ready else NO_RESOURCES
+                continue
+            work.add(
+                team=team,
+                priority=step.run.stored.message.queue.priority,
+                amounts=step.amounts,
+                count=count,
+                estimate_s=step.estimate_s,
+                is_ready=step.is_ready,
+            )
         backlog = work.make_backlog(
             free=round_.sum_free(),
             capacity=self._fleet.compute_capacity(),
@@ -121,6 +136,22 @@
             starts_per_s=self._start_rate.compute(now=round_.now),
         )
         self._admission.update_backlog(backlog)
+        self._log_capped(capped, now=round_.now)
+
+    def _log_capped(self, demand: Mapping[str, Amounts], *, now: float) -> None:
+        """Log what the teams at their cap use and wait for, at intervals for each team."""
+        recent = {t: at for t, at in self._cap_logged_at.items() if now - at < CAP_LOG_INTERVAL_S}
+        due = sorted(self._capped_teams - recent.keys())
+        self._cap_logged_at = recent | dict.fromkeys(due, now)
+        for team in due:
+            logger.info(
+                "steps wait for their team's cap",
+                team=team,
+                cap=describe_cap(self._store.teams.get(team)),
+                used=str(self._fleet.team_usage.get(team) + self._caps.get_planned(team)),
+                unaccounted=str(self._caps.get_unaccounted(team)),
+                waiting=str(demand.get(team, NO_RESOURCES)),
+            )
 
     def get_standing(self, job: jobs_pb2.Job) -> TeamStanding:
         """Return how a job stands against the work of other teams."""
