Wake fewer tasks on a change of the replication state

Each change of the commit, applied or match index woke one task per link, which only checked whether its link is still wanted; the link is now cancelled where it is removed. A signal makes its event only when a task asks for it.

--- a/src/dewspindle/_internal/replication/leadership.py
+++ b/src/dewspindle/_internal/replication/leadership.py
@@ -26,6 +26,7 @@
         self._context = context
         self._term = term
         self._links: dict[ReplicaId, PeerLink] = {}
+        self._link_scopes: dict[ReplicaId, anyio.CancelScope] = {}
         self._started_at = context.timers.now()
         self._inherited_state_at = context.view.fresh_at
         self._term_start_index = 0  # Index of the first entry of this term.
@@ -150,18 +151,18 @@
         for replica_id, peer in wanted.items():
             if replica_id not in self._links:
                 link = PeerLink(self._context, peer=peer, term=self._term)
+                scope = anyio.CancelScope()
                 self._links[replica_id] = link
-                group.start_soon(self._run_link, link)
+                self._link_scopes[replica_id] = scope
+                group.start_soon(self._run_link, link, scope)
         for replica_id in list(self._links):
             if replica_id not in wanted:
                 del self._links[replica_id]
+                self._link_scopes.pop(replica_id).cancel()
 
-    async def _run_link(self, link: PeerLink) -> None:
-        async with anyio.create_task_group() as group:
-            group.start_soon(link.run)
-            while self._links.get(ReplicaId(link.peer.replica_id)) is link:
-                await self._context.state_changed.event.wait()
-            group.cancel_scope.cancel()
+    async def _run_link(self, link: PeerLink, scope: anyio.CancelScope) -> None:
+        with scope:
+            await link.run()
 
     async def _flush_entries(self) -> None:
         context = self._context
--- a/src/dewspindle/_internal/utils/timers.py
+++ b/src/dewspindle/_internal/utils/timers.py
@@ -62,18 +62,22 @@
     """Reusable signal that wakes all waiting tasks each time it is set."""
 
     def __init__(self) -> None:
-        self._event = anyio.Event()
+        # Made on demand, as most signals are set more often than a task waits for them.
+        self._event: anyio.Event | None = None
         self._listeners: list[Callable[[], None]] = []
 
     @property
     def event(self) -> anyio.Event:
         """Return the event that the next call of `set` sets."""
+        if self._event is None:
+            self._event = anyio.Event()
         return self._event
 
     def set(self) -> None:
-        """Set the current event, replace it with a new one, and call the listeners."""
-        event, self._event = self._event, anyio.Event()
-        event.set()
+        """Set the current event, let a new one take its place, and call the listeners."""
+        event, self._event = self._event, None
+        if event is not None:
+            event.set()
         for listener in self._listeners:
             listener()
 
