--- a/src/dewspindle/_internal/models/jobs.py
+++ b/src/dewspindle/_internal/models/jobs.py
@@ -2,19 +2,23 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ..schema import jobs_pb2
 from .ids import JobId
 
 
-@dataclass(frozen=True, slots=True)
-class TaskRef:
-    """One task of a job: an occurrence of the job, a step, and an index in the step."""
+class TaskRef(NamedTuple):
+    """One task of a job: an occurrence of the job, a step, and an index in the step.
+
+    A named tuple, as tasks are looked up several times for each list of a worker and the hash of a
+    data class takes several times as long.
+    """
 
     job: JobId
     occurrence: int
     step: int
-    index: int
+    index: int  # type: ignore[assignment]  # Hides the method of tuples.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dewspindle/_internal/platform/worker_client.py
+++ b/src/dewspindle/_internal/platform/worker_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the workers."""
 
+from functools import lru_cache
 from typing import Any
 
 from ..exceptions import InvalidDocumentError, ServerNotConnectedError, ServerUnreachableError
@@ -35,6 +36,8 @@
 EXPECTED_INSTANCE_HEADER = "X-Dewspindle-Expected-Instance"
 CONNECTIONS_PER_WORKER = 8  # One long-polls for ended tasks; the others carry the starts of a gang.
 MAX_LISTED_ENDS = 500  # Maximum number of ended tasks in one response.
+# Each list names again every task that runs on its worker. Some 1,000 tasks run on a full fleet.
+PARSED_NAMES = 8192
 
 REJECTION_OUTCOMES = {
     "fence": OrderOutcome.FENCED,
@@ -60,12 +63,17 @@
     return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
 
 
+@lru_cache(maxsize=PARSED_NAMES)
+def _parse_name(name: str) -> TaskRef:
+    job, occurrence, step, index = name.split(".")
+    return TaskRef(JobId(job), int(occurrence), int(step), int(index))
+
+
 def parse_task_name(name: Any) -> TaskRef:
     """Parse the wire name of a task; raise `InvalidDocumentError` if it is malformed."""
     try:
-        job, occurrence, step, index = name.split(".")
-        return TaskRef(JobId(job), int(occurrence), int(step), int(index))
-    except (AttributeError, ValueError):
+        return _parse_name(name)
+    except (AttributeError, TypeError, ValueError):
         raise InvalidDocumentError(f"malformed task name {name!r}", field="task") from None
 
 
