Find the confirmation of the quorum again only when the known one is too old

Each order to a worker asks whether this replica may act as the leader, which sorted the times of all voters. While the voters stay the same, that time never goes back, so a known one that is recent enough gives the same answer.

--- a/src/dewspindle/_internal/replication/leadership.py
+++ b/src/dewspindle/_internal/replication/leadership.py
@@ -26,6 +26,8 @@
         self._context = context
         self._term = term
         self._links: dict[ReplicaId, PeerLink] = {}
+        self._known_confirmed_at = float("-inf")
+        self._known_membership: cell_pb2.Membership | None = None  # Whose voters confirmed it.
         self._link_scopes: dict[ReplicaId, anyio.CancelScope] = {}
         self._started_at = context.timers.now()
         self._inherited_state_at = context.view.fresh_at
@@ -94,7 +96,14 @@
         # timeout, which settings/loading.py requires to exceed the leader lease. A restarted voter
         # does so for the leader lease and a margin (see `compute_initial_timer_age`).
         lease_s = self._context.settings.leader_lease_ms / 1000
-        return self._context.timers.now() < self.quorum_confirmed_at + lease_s
+        now, membership = self._context.timers.now(), self._context.membership
+        # While the voters stay the same, the time of the confirmation never goes back. A known one
+        # that is recent enough therefore answers, as each order to a worker asks.
+        is_known = self._known_membership is membership
+        if not is_known or now >= self._known_confirmed_at + lease_s:
+            self._known_membership = membership
+            self._known_confirmed_at = self.quorum_confirmed_at
+        return now < self._known_confirmed_at + lease_s
 
     def _get_confirmed_at(self, voter: cell_pb2.Voter) -> float:
         if voter.replica_id == self._context.replica_id:
