Send a commit to followers with the entries that follow it

Each commit woke each link for a request of its own. While later entries wait for their commit, the earlier commit now goes with them, or with the next heartbeat; a commit of the last entry is sent at once as before.

--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -23,6 +23,7 @@
         self._term = term
         self._next_index = context.log.last_index + 1
         self._match_index = 0
+        self._sent_commit_index = 0
         self._confirmed_at = float("-inf")
         self._echo_clock_s = 0.0  # Clock of the peer in its last answer; 0 before the first one.
         self._quorum_confirmed_at = float("-inf")
@@ -43,6 +44,19 @@
         """Return the replica that this link replicates to."""
         return self._peer
 
+    @property
+    def _has_news(self) -> bool:
+        """Return whether there are entries to send, or the last commit for some time.
+
+        While entries wait for their commit, an earlier commit is sent along with the next one, or
+        with the next entries or heartbeat.
+        """
+        context = self._context
+        if self._next_index <= context.log.last_index:
+            return True
+        is_unsent = context.commit_index > self._sent_commit_index
+        return is_unsent and context.commit_index == context.log.last_index
+
     def record_quorum(self, at: float) -> None:
         """Record when a quorum last confirmed the leader, for the next requests."""
         self._quorum_confirmed_at = at
@@ -51,7 +65,6 @@
         """Send entries and heartbeats until cancelled."""
         context = self._context
         while True:
-            event = context.replication_needed.event
             try:
                 behind = await self._exchange()
             except PeerUnreachableError as error:
@@ -61,7 +74,17 @@
             if behind or self._next_index <= context.log.last_index:
                 await anyio.lowlevel.checkpoint()
                 continue
-            await wait_for_event(context.timers, event=event, seconds=context.heartbeat_interval_s)
+            await self._wait_until_needed()
+
+    async def _wait_until_needed(self) -> None:
+        """Wait until there is something to send, at most until the next heartbeat."""
+        context = self._context
+        heartbeat_at = context.timers.now() + context.heartbeat_interval_s
+        while not self._has_news:
+            event = context.replication_needed.event
+            remaining_s = heartbeat_at - context.timers.now()
+            if not await wait_for_event(context.timers, event=event, seconds=remaining_s):
+                return
 
     def _record_unreachable(self, error: PeerUnreachableError) -> None:
         if self._reachable:
@@ -109,6 +132,7 @@
             leader_address=context.settings.peer_address,
         )
         answer = await self._send_append(request)
+        self._sent_commit_index = request.commit_index
         if not await self._accept_term(answer.term, sent_at=now):
             return False
         self._echo_clock_s = answer.clock_s
