Bind each logger once

The leader writes several lines a task, and half of the time of a line went into binding its logger again.

--- a/src/dewspindle/_internal/utils/logs.py
+++ b/src/dewspindle/_internal/utils/logs.py
@@ -36,7 +36,8 @@
             logging.getLevelNamesMapping()[level.upper()]
         ),
         logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
-        cache_logger_on_first_use=False,
+        # Binding takes half of the time of a line, and programs configure logs only once.
+        cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(instance=instance, zone=zone)
 
