Learn worker speeds and interference from the ends of tasks

Run times of a step are compared with each other once the step has ended, so that estimates that are off in common do not matter. Each comparison teaches the speed of its worker and the effects of its neighbours, each corrected for what is known of the other. Starts of a round then move to capacity that the whole round has left free, where they are expected to end sooner. What starts in a round is therefore the same as without it. JobPlanner.interference.describe() gives pairs and workers.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -3,7 +3,7 @@
 Arrivals, workers, run times and the advisor are modelled; the order, the placement and the choice
 of workers to ask about are the product's. The network, the log and failures are left out.
 
-    python -m bench.job_model --workers 270 --load 1.5 --seconds 40
+    python -m bench.job_model --workers 270 --load 1.5 --seconds 40 --learn
 """
 
 import argparse
@@ -24,8 +24,10 @@
 from dewspindle._internal.jobs.placements import PlacementPhase
 from dewspindle._internal.jobs.planning import JobPlanner
 from dewspindle._internal.jobs.planning_round import PlannedStart
+from dewspindle._internal.jobs.run_observer import RunObserver
 from dewspindle._internal.jobs.runs import JobRun, UnitRun
 from dewspindle._internal.scheduling.job_advice import ApprovalOdds
+from dewspindle._internal.scheduling.slowdowns import Slowdowns
 from dewspindle._internal.schema import jobs_pb2, resources_pb2
 
 ORDER_S = 0.01  # From the plan of a start to its task at work, or from its end to the next plan.
@@ -213,6 +215,7 @@
         seed: int,
         kinds: tuple[JobKind, ...],
         burst: float = 1.0,
+        learns: bool = False,
     ) -> None:
         self.burst = burst
         self.timers = ModelTimers()
@@ -235,7 +238,9 @@
             advice=self.advisor,  # type: ignore[arg-type]
             store=self.store,
             timers=self.timers,  # type: ignore[arg-type]
+            slowdowns=Slowdowns(timers=self.timers, is_enabled=learns),  # type: ignore[arg-type]
         )
+        self.observer = RunObserver(self.planner.interference, timers=self.timers)  # type: ignore[arg-type]
         self.earned: dict[str, float] = defaultdict(float)
         self.owed: dict[str, float] = defaultdict(float)
         self.counts: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
@@ -367,6 +372,7 @@
         stored = unit.step.run.stored
         for placement in list(unit.placements.values()):
             placement.worker.release(placement)
+            self.observer.record_end(placement, jobs_pb2.END_DONE, unit)
         unit.placements.clear()
         self._apply(stored, unit, attempt, jobs_pb2.END_DONE)
         self.planner.finish_unit(unit)
@@ -404,17 +410,24 @@
             },
             "jobs": {name: dict(counts) for name, counts in self.counts.items()},
             "advice_calls": self.advisor.calls,
+            "changed_placements": self.planner.interference.describe().changed_placements,
             "round_ms_p50": round(rounds[len(rounds) // 2] * 1000, 2),
             "round_ms_p99": round(rounds[int(len(rounds) * 0.99)] * 1000, 2),
         }
 
 
 def play(
-    *, workers: int, load: float, seconds: float, seed: int, burst: float = 1.0
+    *,
+    workers: int,
+    load: float,
+    seconds: float,
+    seed: int,
+    burst: float = 1.0,
+    learns: bool = False,
 ) -> dict[str, Any]:
     """Play one run and return its summary; in a burst, jobs of one kind arrive more often."""
     kinds = tuple(_scale(kind, workers / 270) for kind in KINDS)
-    model = JobModel(workers=workers, load=load, seed=seed, kinds=kinds, burst=burst)
+    model = JobModel(workers=workers, load=load, seed=seed, kinds=kinds, burst=burst, learns=learns)
     model.run(seconds)
     return model.summarize()
 
@@ -432,6 +445,9 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--burst", type=float, default=1.0, help="times the arrivals of gangs")
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument(
+        "--learn", action="store_true", help="prefer fast workers and good neighbours"
+    )
     arguments = parser.parse_args()
     for seed in range(1, arguments.seeds + 1):
         summary = play(
@@ -440,6 +456,7 @@
             seconds=arguments.seconds,
             seed=seed,
             burst=arguments.burst,
+            learns=arguments.learn,
         )
         print(json.dumps({"seed": seed, "load": arguments.load, **summary}))
 
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -54,6 +54,10 @@
         """Return whether the ticket for a worker stays valid long enough for a start."""
         return self.expires_at.get(worker_id, 0.0) > now + TICKET_MARGIN_S
 
+    def select_tickets(self, workers: Iterable[str]) -> dict[str, str]:
+        """Return the tickets for some workers, as far as there are any."""
+        return {worker: self.tickets[worker] for worker in workers if worker in self.tickets}
+
     def list_valid(self, now: float) -> list[str]:
         """Return the workers whose tickets stay valid long enough for a start."""
         return [worker for worker in self.expires_at if self.has_ticket(worker, now)]
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -11,6 +11,7 @@
 from ..cell.view import CellView
 from ..replication.replica import Replica
 from ..scheduling.admission import AdmissionControl
+from ..scheduling.slowdowns import Slowdowns
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
@@ -51,6 +52,8 @@
     early_ms: int = 0  # How long before its due time an occurrence may start.
     heartbeats: HeartbeatLimits = field(default_factory=HeartbeatLimits)
     max_lease_s: float = 0.0  # Longest lease that workers accept, if longer than `lease_s`.
+    # Whether run times are learnt from, so that starts avoid slow workers and bad neighbours.
+    avoids_interference: bool = True
 
 
 class JobDispatcher(StateListener):
@@ -102,6 +105,9 @@
             advice=self._advice,
             store=view.state.job_store,
             timers=timers,
+            slowdowns=Slowdowns(
+                timers=timers, metrics=metrics, is_enabled=limits.avoids_interference
+            ),
         )
         self._orders = OrderSender(
             gateway=gateway,
--- a/src/dewspindle/_internal/jobs/placements.py
+++ b/src/dewspindle/_internal/jobs/placements.py
@@ -1,10 +1,10 @@
 """Attempts of tasks on called workers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from ..models.ids import JobId
+from ..models.ids import UNKNOWN_KIND, JobId, TaskKind
 from ..models.jobs import TaskRef
 from ..models.resources import Amounts
 
@@ -49,6 +49,11 @@
     may_have_run: bool = False  # Its start order may have arrived, but was not answered.
     is_of_crashed_life: bool = False  # Its worker has crashed since.
     team: str = ""  # Whose cap it counts against; empty if none.
+    kind: TaskKind = UNKNOWN_KIND  # The image, or the queue and step if none is named.
+    is_resumed: bool = False  # It continues from a checkpoint.
+    is_throttled: bool = False  # Its worker has limited its speed.
+    # How long tasks that have ended ran beside it, by kind; those of one kind add up.
+    beside_s: dict[TaskKind, float] = field(default_factory=dict)
 
     @property
     def attempt_key(self) -> AttemptKey:
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -9,6 +9,7 @@
 from ..scheduling.inherited_work import SilentWorker, list_possible_workers
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
+from ..scheduling.slowdowns import Slowdowns
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
@@ -16,6 +17,7 @@
 from .advice_planner import AdvicePlanner
 from .fleet import Fleet, FleetWorker
 from .planning_round import PlannedStart, PlanningRound
+from .relocation import StartRelocator
 from .runs import JobRun, StepRun, UnitRun
 from .team_work import TeamWork
 
@@ -57,7 +59,13 @@
     """Keeps the steps that wait for capacity and places them in rank order."""
 
     def __init__(
-        self, *, fleet: Fleet, advice: AdviceClient, store: JobStore, timers: TimerService
+        self,
+        *,
+        fleet: Fleet,
+        advice: AdviceClient,
+        store: JobStore,
+        timers: TimerService,
+        slowdowns: Slowdowns | None = None,
     ) -> None:
         self._fleet = fleet
         self._advice = advice
@@ -67,6 +75,14 @@
         self._advice_planner = AdvicePlanner(advice)
         self._set_aside_before: frozenset[str] = frozenset()  # For gangs, in the last round.
         self._teams = TeamWork(fleet=fleet, store=store)
+        self._slowdowns = slowdowns or Slowdowns(timers=timers, is_enabled=False)
+        self._relocator = StartRelocator(
+            self._slowdowns,
+            fleet=fleet,
+            advice=advice,
+            list_candidates=self._list_candidates,
+            get_penalty=self._get_penalty,
+        )
 
     def add(self, run: JobRun) -> None:
         """Queue the waiting steps of a job."""
@@ -80,6 +96,11 @@
         """Return the work of the teams."""
         return self._teams
 
+    @property
+    def interference(self) -> Slowdowns:
+        """Return what is learnt about slow workers and interfering tasks."""
+        return self._slowdowns
+
     def remove(self, run: JobRun) -> None:
         """Remove the steps of a job that ended."""
         for step in run.steps.values():
@@ -144,6 +165,7 @@
                 self._place_gang(step, queue, round_)
             else:
                 self._place_tasks(step, queue, round_)
+        self._relocator.relocate(round_)
         self._set_aside_before = frozenset().union(
             *(chosen.workers for _, chosen in round_.waiting_gangs)
         )
@@ -226,6 +248,16 @@
         advice = self._advice.get(step.key)
         return [worker for worker in workers if advice.has_ticket(worker.id, round_.now)]
 
+    def _list_candidates(self, step: StepRun, round_: PlanningRound) -> list[FleetWorker]:
+        """Return the workers on which a task of a step may start now."""
+        queue = self._store.get_current_queue(step.run.stored)
+        approved = self._list_approved(step, queue, round_)
+        admitted = self._select_admitted(step, queue, approved, round_)
+        return [worker for worker in admitted if round_.may_use(worker.id, step)]
+
+    def _get_penalty(self, worker: FleetWorker) -> float:
+        return SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
+
     def _place_gang(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         rank = self._rank(step, round_.now)
         approved = self._list_approved(step, queue, round_)
@@ -316,8 +348,8 @@
                 return None
             if limit and placed[worker.id] >= limit:
                 return None
-            penalty = SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
-            return penalty + compute_max_free_fraction(step.amounts, free, worker.capacity)
+            fraction = compute_max_free_fraction(step.amounts, free, worker.capacity)
+            return self._get_penalty(worker) + fraction
 
         team = step.run.stored.team
         for unit in list(step.waiting.values()) if step.run.stored.has_crashes else ():
@@ -350,8 +382,7 @@
     def _start(
         self, step: StepRun, unit: UnitRun, workers: dict[int, str], round_: PlanningRound
     ) -> None:
-        advice = self._advice.get(step.key)
-        tickets = {w: advice.tickets[w] for w in workers.values() if w in advice.tickets}
+        tickets = self._advice.get(step.key).select_tickets(workers.values())
         for worker_id in workers.values():
             worker = self._fleet.get(worker_id)
             assert worker is not None
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -97,6 +97,11 @@
         self._free[worker.id] = self.get_free(worker) - amounts
         self.team_caps.allocate(team, amounts)
 
+    def move(self, source: FleetWorker, target: FleetWorker, amounts: Amounts) -> None:
+        """Move the capacity of a task that starts in this round to another worker."""
+        self._free[source.id] = self.get_free(source) + amounts
+        self._free[target.id] = self.get_free(target) - amounts
+
     def check_cap(self, team: str, amounts: Amounts) -> bool:
         """Return whether a start keeps a team within its cap; record the team if it does not."""
         if self.team_caps.allows(team, amounts):
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Iterator
 
 from ..cell.jobs import StoredJob
-from ..models.ids import JobId
+from ..models.ids import JobId, TaskKind
 from ..models.jobs import SchedulingUnit
 from ..models.resources import Amounts, make_amounts
 from ..scheduling.job_order import LatencyTarget
@@ -19,6 +19,11 @@
 SUPERSEDED_ATTEMPT_SKIP = 16
 
 
+def make_task_kind(queue: jobs_pb2.Queue, step: int, *, image: str) -> TaskKind:
+    """Return the kind of a step's tasks: their image, or the queue and step if none is named."""
+    return TaskKind(f"image:{image}" if image else f"{queue.name}/{step}")
+
+
 class UnitRun:
     """Tasks that start together, with the placements of their current attempt."""
 
@@ -83,6 +88,8 @@
             is_lasting=self.step.message.long_running,
             is_suspect=self.step.run.stored.count_crashes(position) > 0,
             team=self.step.run.stored.team,
+            kind=self.step.kind,
+            is_resumed=bool(self.checkpoint),
         )
         worker.add(placement)
         self.placements[position] = placement
@@ -118,6 +125,7 @@
         self.message: jobs_pb2.JobStep = run.stored.message.spec.steps[index]
         self.amounts: Amounts = make_amounts(self.message.resources)
         self.estimate_s = self.message.estimate_ms / 1000
+        self.kind = make_task_kind(run.stored.message.queue, index, image=self.message.image)
         self.units: dict[int, UnitRun] = {}
         self.waiting: dict[int, UnitRun] = {}
         self.remaining_units = 0  # Units that are not done.
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from enum import Enum
 
-from ..models.ids import JobId
+from ..models.ids import UNKNOWN_KIND, JobId
 from ..models.jobs import TaskRef
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.crash_blame import may_be_blamed, should_give_up, was_newest
@@ -18,6 +18,7 @@
 from .orders import OrderSender
 from .placements import UNKNOWN_POSITION, AttemptKey, JobTaskKey, Placement, PlacementPhase
 from .planning import JobPlanner
+from .run_observer import RunObserver
 from .runs import UnitRun
 
 FAILED_RETRY_DELAY_S = 0.05
@@ -87,6 +88,7 @@
         self._wake_planner = wake_planner
         self._remove_worker = remove_worker
         self._replay_heartbeat = replay_heartbeat
+        self._observer = RunObserver(planner.interference, timers=timers)
 
     def wake_planner(self) -> None:
         """Trigger a planning round."""
@@ -116,6 +118,7 @@
 
     def record_usage(self, placement: Placement, active: ActiveTask) -> None:
         """Track the CPU usage of a task; stop a stuck one so that it continues elsewhere."""
+        self._observer.record_active(placement, active)
         unit = self._jobs.find_unit(placement.key)
         if (
             unit is None
@@ -153,10 +156,11 @@
                 ran_s=round(now - placement.placed_at, 3),
             )
         placement.worker.record_end(placement.key[0], kind, now)
-        if kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE):
-            unit = self._jobs.find_unit(placement.key)
-            if unit is not None:
-                unit.avoided.add(placement.worker.id)
+        unit = self._jobs.find_unit(placement.key)
+        self._observer.record_end(placement, kind, unit)
+        is_bad = kind in (jobs_pb2.END_FAILED, jobs_pb2.END_LAPSED, jobs_pb2.END_ALONE)
+        if is_bad and unit is not None:
+            unit.avoided.add(placement.worker.id)
 
     def may_act(self) -> bool:
         """Return whether this replica may act as the leader."""
@@ -296,6 +300,7 @@
             has_run=True,
             is_adopted=True,
             team=self._jobs.find_team(active.task),
+            kind=unit.step.kind if unit is not None else UNKNOWN_KIND,
         )
         worker.add(placement)
         adoption = self._check_adoption(placement, unit)
--- a/src/dewspindle/_internal/models/ids.py
+++ b/src/dewspindle/_internal/models/ids.py
@@ -10,6 +10,11 @@
 WorkerId = NewType("WorkerId", str)
 BackendId = NewType("BackendId", str)
 JobId = NewType("JobId", str)
+TaskKind = NewType(
+    "TaskKind", str
+)  # Tasks that are expected to behave alike; see `Placement.kind`.
+
+UNKNOWN_KIND = TaskKind("")
 
 # Names of tasks are made of the job id and numbers, with dots between them.
 _JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,64}")
--- /dev/null
+++ b/src/dewspindle/_internal/scheduling/run_times.py
@@ -0,0 +1,129 @@
+"""Compares the run time of each ended task with those of the same step on other workers.
+
+Answers estimates that are off by up to a factor of two, but in common for all tasks of a step: the
+tasks of a step are compared with each other once the step has ended. Steps of few tasks are
+compared with what is usual for their kind.
+"""
+
+import math
+import statistics
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from ..models.ids import JobId, TaskKind
+from .fading_mean import FadingMean
+
+# With three tasks, the median is a usual run time although one of them is a straggler.
+MIN_PEERS = 3
+MAX_PEERS = 64  # Run times of one step that are compared; more would not change the median much.
+# Steps with ended and open tasks; the fleet of the largest deployment runs some hundred at a time.
+MAX_OPEN_STEPS = 500
+MAX_OPEN_S = 30.0  # After which a step is evaluated although it has not ended.
+# Shorter run times consist mostly of the time of orders and lists.
+MIN_RUN_S = 0.05
+MAX_RUN_S = 3600.0
+MAX_NEIGHBOURS = 32  # Kinds beside one task; more than a worker has room for.
+KIND_HALF_LIFE_S = 60.0
+KIND_WINDOW = 50.0
+MIN_KIND_SAMPLES = 8.0  # Before a kind is known well enough to compare small steps with it.
+MAX_KINDS = 256
+
+StepId = tuple[JobId, int, int]  # The job, occurrence and index of a step.
+
+
+class IgnoredRunTime(Enum):
+    """Why the end of a task teaches nothing."""
+
+    MALFORMED = "malformed"
+    LATE = "late"  # The worker did not answer for a while, so the time of the end is not known.
+    NOT_COMPARABLE = "not-comparable"  # The task did not run whole, alone or at full speed.
+
+
+@dataclass(frozen=True, slots=True)
+class RunTime:
+    """The run time of a task that was done."""
+
+    kind: TaskKind
+    step: StepId
+    step_size: int
+    worker: str
+    ran_s: float
+    estimate_s: float
+    neighbours: Mapping[TaskKind, float]  # Mean number during the run, by kind.
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether all values are possible."""
+        return (
+            bool(self.kind and self.worker)
+            and self.step_size > 0
+            and MIN_RUN_S <= self.ran_s <= MAX_RUN_S
+            and 0.0 <= self.estimate_s < math.inf
+            and len(self.neighbours) <= MAX_NEIGHBOURS
+            and all(0.0 <= count < math.inf for count in self.neighbours.values())
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """A run time, and by how much it exceeds what is usual, as a logarithm."""
+
+    run_time: RunTime
+    excess: float
+
+
+class StepComparer:
+    """Collects run times by step and compares those of a step when it ends."""
+
+    def __init__(self, *, explain: Callable[[RunTime, float], float]) -> None:
+        self._explain = explain  # Returns what worker and neighbours add, as a logarithm.
+        self._open: OrderedDict[StepId, tuple[float, list[RunTime]]] = OrderedDict()
+        self._usual: OrderedDict[TaskKind, FadingMean] = OrderedDict()  # Of run time to estimate.
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def add(self, run_time: RunTime, now: float) -> Iterator[Comparison]:
+        """Add a run time, and yield the comparisons of steps that have ended by now."""
+        _, found = self._open.setdefault(run_time.step, (now, []))
+        found.append(run_time)
+        if len(found) >= min(run_time.step_size, MAX_PEERS):
+            del self._open[run_time.step]
+            yield from self._compare(found, now)
+        while self._open:
+            step, (opened_at, older) = next(iter(self._open.items()))
+            if len(self._open) <= MAX_OPEN_STEPS and now - opened_at < MAX_OPEN_S:
+                return
+            del self._open[step]
+            yield from self._compare(older, now)
+
+    def _compare(self, found: list[RunTime], now: float) -> Iterator[Comparison]:
+        rest = [math.log(run.ran_s) - self._explain(run, now) for run in found]
+        has_peers = len(found) >= MIN_PEERS and len({run.worker for run in found}) > 1
+        usual = statistics.median(rest)
+        expected = usual if has_peers else self._expect(found[0], now)
+        estimate_s = found[0].estimate_s
+        if estimate_s > 0:
+            self._get_usual(found[0].kind).add(usual - math.log(estimate_s), now)
+        if expected is None:
+            return
+        for run in found:
+            yield Comparison(run, math.log(run.ran_s) - expected)
+
+    def _expect(self, run: RunTime, now: float) -> float | None:
+        """Return the usual run time of a kind as a logarithm, or None if it is not known."""
+        usual = self._get_usual(run.kind)
+        if run.estimate_s <= 0 or usual.get_weight(now) < MIN_KIND_SAMPLES:
+            return None
+        return usual.mean + math.log(run.estimate_s)
+
+    def _get_usual(self, kind: TaskKind) -> FadingMean:
+        usual = self._usual.get(kind)
+        if usual is None:
+            usual = self._usual[kind] = FadingMean(KIND_HALF_LIFE_S, KIND_WINDOW)
+            if len(self._usual) > MAX_KINDS:
+                self._usual.popitem(last=False)
+        self._usual.move_to_end(kind)
+        return usual
