--- a/src/dewspindle/_internal/jobs/placements.py
+++ b/src/dewspindle/_internal/jobs/placements.py
@@ -7,6 +7,7 @@
 from ..models.ids import UNKNOWN_KIND, JobId, TaskKind
 from ..models.jobs import TaskRef
 from ..models.resources import Amounts
+from ..scheduling.run_times import Overlap
 
 if TYPE_CHECKING:
     from .fleet import FleetWorker
@@ -52,8 +53,7 @@
     kind: TaskKind = UNKNOWN_KIND  # The image, or the queue and step if none is named.
     is_resumed: bool = False  # It continues from a checkpoint.
     is_throttled: bool = False  # Its worker has limited its speed.
-    # How long tasks that have ended ran beside it, by kind; those of one kind add up.
-    beside_s: dict[TaskKind, float] = field(default_factory=dict)
+    overlaps: list[Overlap] = field(default_factory=list)  # With tasks that have ended.
 
     @property
     def attempt_key(self) -> AttemptKey:
--- a/src/dewspindle/_internal/jobs/run_observer.py
+++ b/src/dewspindle/_internal/jobs/run_observer.py
@@ -1,7 +1,6 @@
 """Reads from the ends of tasks how long they ran, and beside which others."""
 
-from ..models.ids import TaskKind
-from ..scheduling.run_times import MIN_RUN_S, IgnoredRunTime, RunTime
+from ..scheduling.run_times import MIN_RUN_S, IgnoredRunTime, Overlap, RunTime
 from ..scheduling.slowdowns import Slowdowns
 from ..schema import jobs_pb2
 from ..utils.timers import TimerService
@@ -10,6 +9,8 @@
 from .runs import UnitRun
 
 FULL_SPEED_PERCENT = 100
+# Of which the times are kept for a running task; more would change what it is compared with little.
+MAX_OVERLAPS = 100
 
 
 class RunObserver:
@@ -45,7 +46,7 @@
                 worker=placement.worker.id,
                 ran_s=ran_s,
                 estimate_s=placement.estimate_s,
-                neighbours={other: s / ran_s for other, s in placement.beside_s.items()},
+                overlaps=tuple(placement.overlaps),
             )
         )
 
@@ -53,11 +54,8 @@
     def _record_overlaps(placement: Placement, now: float) -> None:
         """Record, for an ended task and those that still run, how long they ran side by side."""
         for other in placement.worker.placements.values():
-            overlap_s = now - max(placement.placed_at, other.placed_at)
-            if overlap_s <= 0:
-                continue
-            _add_overlap(placement, other.kind, overlap_s)
-            _add_overlap(other, placement.kind, overlap_s)
+            _add_overlap(placement, other, now)
+            _add_overlap(other, placement, now)
 
     @staticmethod
     def _find_reason_to_ignore(
@@ -85,6 +83,9 @@
         return None
 
 
-def _add_overlap(placement: Placement, kind: TaskKind, seconds: float) -> None:
-    if kind:
-        placement.beside_s[kind] = placement.beside_s.get(kind, 0.0) + seconds
+def _add_overlap(placement: Placement, other: Placement, now: float) -> None:
+    """Add when another placement on the worker ran beside one."""
+    if other.kind and len(placement.overlaps) < MAX_OVERLAPS:
+        from_s = max(0.0, other.placed_at - placement.placed_at)
+        overlap = Overlap(other.kind, from_s, now - placement.placed_at)
+        placement.overlaps.append(overlap)
--- a/src/dewspindle/_internal/scheduling/interference.py
+++ b/src/dewspindle/_internal/scheduling/interference.py
@@ -18,8 +18,10 @@
 # and is forgotten within a minute.
 HALF_LIFE_S = 10.0
 WINDOW = 60.0
-# The mean number of neighbours of a kind during a run from which it counts as beside the kind, and
-# up to which it counts as without it.
+# A pair is dropped by its last run times alone, as amounts change within seconds.
+RECENT_WINDOW = 15.0
+# Parts of a run beside a kind from which it counts as beside the kind, and up to which it counts as
+# without it.
 BESIDE_MIN = 0.5
 APART_MAX = 0.1
 # Over hundreds of pairs that are checked again and again, three standard errors beyond a factor of
@@ -41,6 +43,7 @@
     """Run times of one kind beside and without another kind, as logarithms of their excess."""
 
     beside: FadingMean = field(default_factory=lambda: FadingMean(HALF_LIFE_S, WINDOW))
+    recent: FadingMean = field(default_factory=lambda: FadingMean(HALF_LIFE_S, RECENT_WINDOW))
     apart: FadingMean = field(default_factory=lambda: FadingMean(HALF_LIFE_S, WINDOW))
     workers: set[str] = field(default_factory=set)  # Up to `MIN_WORKERS` of those it was seen on.
     believed: float = 0.0  # Logarithm of the factor by which the run time grows; 0 if none.
@@ -52,11 +55,24 @@
         """Return by how much the means differ."""
         return self.beside.mean - self.apart.mean
 
+    def add_beside(self, value: float, worker: str, now: float) -> None:
+        """Add a run time beside the other kind."""
+        self.beside.add(value, now)
+        self.recent.add(value, now)
+        if len(self.workers) < MIN_WORKERS:
+            self.workers.add(worker)
+
+    def restart(self) -> None:
+        """Forget the run times beside the other kind, after an effect that has ended."""
+        self.beside = FadingMean(HALF_LIFE_S, WINDOW)
+        self.recent = FadingMean(HALF_LIFE_S, RECENT_WINDOW)
+        self.workers.clear()
+
     def check(self, now: float) -> bool:
         """Return whether the effect is certain, or still certain enough if it was before."""
         samples = min(self.beside.get_weight(now), self.apart.get_weight(now))
         if self.believed:
-            return samples >= MIN_SAMPLES_KEPT and self.effect >= MIN_EFFECT
+            return samples >= MIN_SAMPLES_KEPT and self.recent.mean - self.apart.mean >= MIN_EFFECT
         if samples < MIN_SAMPLES or len(self.workers) < MIN_WORKERS:
             return False
         error = math.hypot(self.beside.compute_error(now), self.apart.compute_error(now))
@@ -94,42 +110,36 @@
         """Return the kinds that are believed to be slowed by a kind."""
         return self._slows.get(kind, {})
 
-    def estimate(self, kind: TaskKind, neighbours: Mapping[TaskKind, float]) -> float:
-        """Return the believed effect of neighbours, given how many of each kind there were."""
+    def estimate(self, kind: TaskKind, exposure: Mapping[TaskKind, float]) -> float:
+        """Return the believed effect of neighbours, given the part of the run beside each kind."""
         row = self._slowed_by.get(kind)
         if not row:
             return 0.0
-        return sum(
-            row[other].believed * min(1.0, count)
-            for other, count in neighbours.items()
-            if other in row
-        )
+        return sum(row[other].believed * part for other, part in exposure.items() if other in row)
 
     def record(
         self,
         kind: TaskKind,
         *,
         worker: str,
-        neighbours: Mapping[TaskKind, float],
+        exposure: Mapping[TaskKind, float],
         residual: float,
         now: float,
     ) -> None:
         """Record by how much a run time exceeds what speed and known neighbours explain."""
         row = self._touch(kind)
         residual = max(-MAX_RESIDUAL, min(MAX_RESIDUAL, residual))
-        for other, count in neighbours.items():
-            if count < BESIDE_MIN:
+        for other, part in exposure.items():
+            if part < BESIDE_MIN:
                 continue
             self._touch(other)
             pair = row.get(other)
             if pair is None:
                 pair = row[other] = Pair()
             # The effect of this neighbour is what the pair is about, so it stays in.
-            pair.beside.add(residual + pair.believed * min(1.0, count), now)
-            if len(pair.workers) < MIN_WORKERS:
-                pair.workers.add(worker)
+            pair.add_beside(residual + pair.believed * part, worker, now)
         for other, pair in row.items():
-            if neighbours.get(other, 0.0) <= APART_MAX:
+            if exposure.get(other, 0.0) <= APART_MAX:
                 pair.apart.add(residual, now)
             self._update(kind, other, pair, now)
 
@@ -154,8 +164,6 @@
 
     def _update(self, kind: TaskKind, other: TaskKind, pair: Pair, now: float) -> None:
         if not pair.check(now):
-            if pair.beside.get_weight(now) < 1.0:
-                pair.workers.clear()
             self._drop(kind, other, pair)
             return
         is_new = not pair.believed
@@ -171,6 +179,7 @@
         if not pair.believed:
             return
         pair.believed = 0.0
+        pair.restart()
         for index, first, second in (
             (self._slowed_by, kind, other),
             (self._slows, other, kind),
@@ -187,7 +196,7 @@
             slowed=kind,
             neighbour=other,
             is_believed=is_believed,
-            run_time_factor=round(math.exp(pair.effect), 2),
+            run_time_factor=round(math.exp(pair.believed), 2),
             changed_placements=pair.changed_placements,
         )
         if self._on_change is not None:
--- a/src/dewspindle/_internal/scheduling/run_times.py
+++ b/src/dewspindle/_internal/scheduling/run_times.py
@@ -8,9 +8,10 @@
 import math
 import statistics
 from collections import OrderedDict
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 from ..models.ids import JobId, TaskKind
 from .fading_mean import FadingMean
@@ -24,7 +25,6 @@
 # Shorter run times consist mostly of the time of orders and lists.
 MIN_RUN_S = 0.05
 MAX_RUN_S = 3600.0
-MAX_NEIGHBOURS = 32  # Kinds beside one task; more than a worker has room for.
 KIND_HALF_LIFE_S = 60.0
 KIND_WINDOW = 50.0
 MIN_KIND_SAMPLES = 8.0  # Before a kind is known well enough to compare small steps with it.
@@ -41,6 +41,15 @@
     NOT_COMPARABLE = "not-comparable"  # The task did not run whole, alone or at full speed.
 
 
+@dataclass(frozen=True, slots=True)
+class Overlap:
+    """When a task of a kind ran beside another task, in seconds since the start of the latter."""
+
+    kind: TaskKind
+    from_s: float
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RunTime:
     """The run time of a task that was done."""
@@ -51,7 +60,7 @@
     worker: str
     ran_s: float
     estimate_s: float
-    neighbours: Mapping[TaskKind, float]  # Mean number during the run, by kind.
+    overlaps: tuple[Overlap, ...]  # With other tasks on the worker.
 
     @property
     def is_valid(self) -> bool:
@@ -61,24 +70,51 @@
             and self.step_size > 0
             and MIN_RUN_S <= self.ran_s <= MAX_RUN_S
             and 0.0 <= self.estimate_s < math.inf
-            and len(self.neighbours) <= MAX_NEIGHBOURS
-            and all(0.0 <= count < math.inf for count in self.neighbours.values())
+            and all(0.0 <= other.from_s <= other.until_s < math.inf for other in self.overlaps)
         )
 
+    def compute_exposure(self, expected_s: float) -> dict[TaskKind, float]:
+        """Return during which part of the run a task of each kind ran beside it.
+
+        Counts up to the expected end, as long runs would otherwise meet more neighbours than short
+        ones for that reason alone.
+        """
+        observed_s = min(self.ran_s, expected_s)
+        covered_s: dict[TaskKind, float] = {}
+        seen_until_s: dict[TaskKind, float] = {}
+        for other in sorted(self.overlaps, key=lambda overlap: overlap.from_s):
+            from_s = max(other.from_s, seen_until_s.get(other.kind, 0.0))
+            until_s = min(other.until_s, observed_s)
+            if until_s > from_s:
+                covered_s[other.kind] = covered_s.get(other.kind, 0.0) + until_s - from_s
+                seen_until_s[other.kind] = until_s
+        return {kind: seconds / observed_s for kind, seconds in covered_s.items()}
+
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
     """A run time, and by how much it exceeds what is usual, as a logarithm."""
 
     run_time: RunTime
+    exposure: Mapping[TaskKind, float]  # Part of the run beside each kind.
     excess: float
 
 
+class ExcessModel(Protocol):
+    """What is known of the reasons for long run times, as logarithms."""
+
+    def estimate_slowness(self, worker: str) -> float:
+        """Return what a worker adds to a run time."""
+
+    def estimate_effect(self, kind: TaskKind, exposure: Mapping[TaskKind, float]) -> float:
+        """Return what neighbours add to a run time."""
+
+
 class StepComparer:
     """Collects run times by step and compares those of a step when it ends."""
 
-    def __init__(self, *, explain: Callable[[RunTime, float], float]) -> None:
-        self._explain = explain  # Returns what worker and neighbours add, as a logarithm.
+    def __init__(self, *, model: ExcessModel) -> None:
+        self._model = model
         self._open: OrderedDict[StepId, tuple[float, list[RunTime]]] = OrderedDict()
         self._usual: OrderedDict[TaskKind, FadingMean] = OrderedDict()  # Of run time to estimate.
 
@@ -100,17 +136,26 @@
             yield from self._compare(older, now)
 
     def _compare(self, found: list[RunTime], now: float) -> Iterator[Comparison]:
-        rest = [math.log(run.ran_s) - self._explain(run, now) for run in found]
         has_peers = len(found) >= MIN_PEERS and len({run.worker for run in found}) > 1
+        usual_s = statistics.median(run.ran_s for run in found)
+        expected = self._expect(found[0], now)
+        expected_s = usual_s if has_peers or expected is None else math.exp(expected)
+        exposures, rest = [], []
+        for run in found:
+            slowness = self._model.estimate_slowness(run.worker)
+            exposure = run.compute_exposure(expected_s * math.exp(slowness))
+            effect = self._model.estimate_effect(run.kind, exposure)
+            exposures.append(exposure)
+            rest.append(math.log(run.ran_s) - slowness - effect)
         usual = statistics.median(rest)
-        expected = usual if has_peers else self._expect(found[0], now)
-        estimate_s = found[0].estimate_s
-        if estimate_s > 0:
-            self._get_usual(found[0].kind).add(usual - math.log(estimate_s), now)
+        if found[0].estimate_s > 0:
+            self._get_usual(found[0].kind).add(usual - math.log(found[0].estimate_s), now)
+        if has_peers:
+            expected = usual
         if expected is None:
             return
-        for run in found:
-            yield Comparison(run, math.log(run.ran_s) - expected)
+        for run, exposure in zip(found, exposures, strict=True):
+            yield Comparison(run, exposure, math.log(run.ran_s) - expected)
 
     def _expect(self, run: RunTime, now: float) -> float | None:
         """Return the usual run time of a kind as a logarithm, or None if it is not known."""
--- a/src/dewspindle/_internal/scheduling/slowdowns.py
+++ b/src/dewspindle/_internal/scheduling/slowdowns.py
@@ -14,7 +14,7 @@
 from ..utils.metrics import Metrics
 from ..utils.timers import TimerService
 from .interference import InterferenceModel
-from .run_times import IgnoredRunTime, RunTime, StepComparer
+from .run_times import Comparison, IgnoredRunTime, RunTime, StepComparer
 from .worker_speeds import WorkerSpeeds
 
 # A task that takes twice as long is as bad as a worse fit by half a worker. Best fit keeps room for
@@ -74,7 +74,7 @@
         self._is_enabled = is_enabled
         self._speeds = WorkerSpeeds()
         self._pairs = InterferenceModel(on_change=self._count_belief)
-        self._steps = StepComparer(explain=self._explain)
+        self._steps = StepComparer(model=self)
         self._changed_placements = 0
 
     @property
@@ -107,26 +107,31 @@
             return
         now = self._timers.now()
         for comparison in self._steps.add(run_time, now):
-            self._learn(comparison.run_time, comparison.excess, now)
+            self._learn(comparison, now)
 
     def count_ignored(self, why: IgnoredRunTime) -> None:
         """Count an end of a task that teaches nothing."""
         if self._metrics is not None:
             self._metrics.count("dewspindle_run_times_ignored", reason=why.value)
 
-    def _explain(self, run: RunTime, now: float) -> float:
-        slowness = self._speeds.estimate(run.worker, now)
-        return slowness + self._pairs.estimate(run.kind, run.neighbours)
+    def estimate_slowness(self, worker: str) -> float:
+        """Return what a worker adds to a run time, as a logarithm."""
+        return self._speeds.estimate(worker, self._timers.now())
 
-    def _learn(self, run: RunTime, excess: float, now: float) -> None:
-        slowness = self._speeds.estimate(run.worker, now)
-        effect = self._pairs.estimate(run.kind, run.neighbours)
-        self._speeds.record(run.worker, excess - effect, now)
+    def estimate_effect(self, kind: TaskKind, exposure: Mapping[TaskKind, float]) -> float:
+        """Return what neighbours add to a run time, as a logarithm."""
+        return self._pairs.estimate(kind, exposure)
+
+    def _learn(self, comparison: Comparison, now: float) -> None:
+        run, exposure = comparison.run_time, comparison.exposure
+        slowness = self.estimate_slowness(run.worker)
+        effect = self.estimate_effect(run.kind, exposure)
+        self._speeds.record(run.worker, comparison.excess - effect, now)
         self._pairs.record(
             run.kind,
             worker=run.worker,
-            neighbours=run.neighbours,
-            residual=excess - effect - slowness,
+            exposure=exposure,
+            residual=comparison.excess - effect - slowness,
             now=now,
         )
 
--- a/src/dewspindle/_internal/scheduling/worker_speeds.py
+++ b/src/dewspindle/_internal/scheduling/worker_speeds.py
@@ -24,8 +24,6 @@
 # Values further from the mean count as this far, so that a task that lasts seven times as long
 # moves a mean no more than any other task that is late.
 MAX_DEVIATION = 0.7
-# Values equal to no difference that each estimate begins with.
-PRIOR_SAMPLES = 3.0
 MAX_WORKERS = 5000  # Workers that come and go under new ids are forgotten, the oldest first.
 
 logger = get_logger(__name__)
@@ -40,8 +38,7 @@
 
     def estimate(self, now: float) -> float:
         """Return the mean, drawn towards no difference while it stands for few tasks."""
-        weight = self.slowness.get_weight(now)
-        return self.slowness.mean * weight / (weight + PRIOR_SAMPLES)
+        return self.slowness.mean * min(1.0, self.slowness.get_weight(now) / MIN_SAMPLES)
 
     def update_belief(self, now: float) -> None:
         """Believe in a difference that is certain enough, or drop one that is not any more."""
