Reduce the cost of moving starts and of learning from ends

A start is examined only if it can gain a tenth of its estimate, targets of a step are the 32 workers with the lowest cost on which it fits, and workers count their tasks by kind. Periods beside other kinds are joined as they are added.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -216,6 +216,7 @@
         kinds: tuple[JobKind, ...],
         burst: float = 1.0,
         learns: bool = False,
+        speeds: tuple[float, ...] = SPEEDS,
     ) -> None:
         self.burst = burst
         self.timers = ModelTimers()
@@ -226,6 +227,7 @@
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._numbers = itertools.count()
         self.fleet = Fleet()
+        self._speed_choices = speeds
         self.speeds: dict[str, float] = {}
         for number in range(workers):
             self._add_worker(f"w{number}")
@@ -245,6 +247,8 @@
         self.owed: dict[str, float] = defaultdict(float)
         self.counts: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
         self.round_s: list[float] = []
+        self.observe_s = 0.0  # Time of learning from the ends of tasks.
+        self.ends = 0
 
     def _add_worker(self, name: str) -> None:
         capacity = resources_pb2.Resources(processors=32_000, memory_mb=131_072)
@@ -252,7 +256,7 @@
         worker.is_reconciled = True
         worker.last_heartbeat_at = worker.capacity_known_at = math.inf
         worker.lease.record_clock(0, received_at=0.0)
-        self.speeds[name] = self._rng.choice(SPEEDS)
+        self.speeds[name] = self._rng.choice(self._speed_choices)
 
     @staticmethod
     def _make_queue(kind: JobKind) -> jobs_pb2.Queue:
@@ -372,7 +376,10 @@
         stored = unit.step.run.stored
         for placement in list(unit.placements.values()):
             placement.worker.release(placement)
+            started_at = time.perf_counter()
             self.observer.record_end(placement, jobs_pb2.END_DONE, unit)
+            self.observe_s += time.perf_counter() - started_at
+            self.ends += 1
         unit.placements.clear()
         self._apply(stored, unit, attempt, jobs_pb2.END_DONE)
         self.planner.finish_unit(unit)
@@ -411,6 +418,8 @@
             "jobs": {name: dict(counts) for name, counts in self.counts.items()},
             "advice_calls": self.advisor.calls,
             "changed_placements": self.planner.interference.describe().changed_placements,
+            "observe_us_per_end": round(self.observe_s / max(1, self.ends) * 1e6, 1),
+            "plan_s": round(sum(rounds), 3),
             "round_ms_p50": round(rounds[len(rounds) // 2] * 1000, 2),
             "round_ms_p99": round(rounds[int(len(rounds) * 0.99)] * 1000, 2),
         }
@@ -424,10 +433,19 @@
     seed: int,
     burst: float = 1.0,
     learns: bool = False,
+    speeds: tuple[float, ...] = SPEEDS,
 ) -> dict[str, Any]:
     """Play one run and return its summary; in a burst, jobs of one kind arrive more often."""
     kinds = tuple(_scale(kind, workers / 270) for kind in KINDS)
-    model = JobModel(workers=workers, load=load, seed=seed, kinds=kinds, burst=burst, learns=learns)
+    model = JobModel(
+        workers=workers,
+        load=load,
+        seed=seed,
+        kinds=kinds,
+        burst=burst,
+        learns=learns,
+        speeds=speeds,
+    )
     model.run(seconds)
     return model.summarize()
 
@@ -448,6 +466,7 @@
     parser.add_argument(
         "--learn", action="store_true", help="prefer fast workers and good neighbours"
     )
+    parser.add_argument("--speeds", type=float, nargs="+", default=SPEEDS, help="of workers")
     arguments = parser.parse_args()
     for seed in range(1, arguments.seeds + 1):
         summary = play(
@@ -457,6 +476,7 @@
             seed=seed,
             burst=arguments.burst,
             learns=arguments.learn,
+            speeds=tuple(arguments.speeds),
         )
         print(json.dumps({"seed": seed, "load": arguments.load, **summary}))
 
--- a/features/steps/interference_steps.py
+++ b/features/steps/interference_steps.py
@@ -7,7 +7,7 @@
 from dewspindle._internal.jobs.run_observer import RunObserver
 from dewspindle._internal.models.ids import JobId, TaskKind
 from dewspindle._internal.models.resources import NO_RESOURCES
-from dewspindle._internal.scheduling.run_times import Overlap, RunTime
+from dewspindle._internal.scheduling.run_times import RunTime
 from dewspindle._internal.scheduling.slowdowns import Slowdowns
 from dewspindle._internal.schema import jobs_pb2
 from dewspindle._internal.utils.metrics import Metrics
@@ -188,7 +188,7 @@
         worker="w0",
         ran_s=1.0,
         estimate_s=1.0,
-        overlaps=(Overlap(PAIR[1], 0.0, 1.0),),
+        beside={PAIR[1]: [(0.0, 1.0)]},
     )
     return replace(valid, **changes)
 
@@ -202,7 +202,7 @@
         *({"ran_s": value} for value in (0.0, -1.0, math.nan, math.inf)),
         *({"estimate_s": value} for value in (-1.0, math.nan, math.inf)),
         *({"kind": ""}, {"worker": ""}, {"step_size": 0}),
-        *({"overlaps": (Overlap(PAIR[1], *times),)} for times in ((1.0, 0.5), (0.0, math.nan))),
+        *({"beside": {PAIR[1]: [period]}} for period in ((1.0, 0.5), (0.0, math.nan))),
     ]
     for changes in malformed:
         slowdowns.record(make_run_time(**changes))
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..models.ids import JobId
+from ..models.ids import JobId, TaskKind
 from ..models.resources import NO_RESOURCES, Amounts, make_amounts
 from ..scheduling.answer_loss import (
     MAX_SUSPENDED_FRACTION,
@@ -84,6 +84,7 @@
     # All that may run on the worker, also attempts that no open job waits for any more.
     placements: dict[AttemptKey, Placement] = field(default_factory=dict)
     unknown_count: int = 0  # Placements of unknown tasks.
+    kinds: Counter[TaskKind] = field(default_factory=Counter)  # Number of placements.
     born_ms: int = field(init=False)  # Tells the lives of the worker apart; 0 if unknown.
     # Of another life, to be used once a list shows that it is the present one.
     pending_heartbeat: peers_pb2.WorkerBeat | None = None
@@ -182,6 +183,7 @@
     def add(self, placement: Placement) -> None:
         """Reserve capacity for a placement."""
         self.placements[placement.attempt_key] = placement
+        self.kinds[placement.kind] += 1
         self.free -= placement.amounts
         self.team_usage.add(placement.team, placement.amounts)
         self.unknown_count += not placement.is_known
@@ -190,6 +192,9 @@
         """Release the capacity of a placement and mark it as ended."""
         if self.placements.get(placement.attempt_key) is placement:
             del self.placements[placement.attempt_key]
+            self.kinds[placement.kind] -= 1
+            if not self.kinds[placement.kind]:
+                del self.kinds[placement.kind]
             self.free += placement.amounts
             self.team_usage.release(placement.team, placement.amounts)
             self.unknown_count -= not placement.is_known
--- a/src/dewspindle/_internal/jobs/placements.py
+++ b/src/dewspindle/_internal/jobs/placements.py
@@ -7,7 +7,7 @@
 from ..models.ids import UNKNOWN_KIND, JobId, TaskKind
 from ..models.jobs import TaskRef
 from ..models.resources import Amounts
-from ..scheduling.run_times import Overlap
+from ..scheduling.run_times import Periods
 
 if TYPE_CHECKING:
     from .fleet import FleetWorker
@@ -53,7 +53,8 @@
     kind: TaskKind = UNKNOWN_KIND  # The image, or the queue and step if none is named.
     is_resumed: bool = False  # It continues from a checkpoint.
     is_throttled: bool = False  # Its worker has limited its speed.
-    overlaps: list[Overlap] = field(default_factory=list)  # With tasks that have ended.
+    # When tasks that have ended ran beside it.
+    beside: dict[TaskKind, Periods] = field(default_factory=dict)
 
     @property
     def attempt_key(self) -> AttemptKey:
--- a/src/dewspindle/_internal/jobs/relocation.py
+++ b/src/dewspindle/_internal/jobs/relocation.py
@@ -4,15 +4,17 @@
 capacity that the whole round has left free, so that it takes nothing from any other start.
 """
 
+import heapq
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from itertools import islice
 
 from ..models.ids import TaskKind
 from ..models.resources import Amounts
 from ..scheduling.job_placement import compute_max_free_fraction, pack_gang
-from ..scheduling.slowdowns import Slowdowns
-from .advice import AdviceClient
+from ..scheduling.slowdowns import TIME_COST_WEIGHT, Slowdowns
+from .advice import AdviceClient, StepKey
 from .fleet import Fleet, FleetWorker
 from .planning_round import PlannedStart, PlanningRound
 from .runs import StepRun, UnitRun
@@ -21,6 +23,13 @@
 # differ by less.
 SPEED_CLASS_WIDTH = 0.3
 
+# Smaller gains are within the error of what is learnt: a tenth of the estimate of a task.
+MIN_GAIN = 0.1 * TIME_COST_WEIGHT
+# Workers that are passed over for one task, as it may not run there or gains too little.
+MAX_PASSED_TARGETS = 16
+# Workers with the lowest cost on which a step fits. Of so many, one is a good fit as well.
+MAX_TARGETS = 32
+
 CandidateLister = Callable[[StepRun, PlanningRound], list[FleetWorker]]
 PenaltyGetter = Callable[[FleetWorker], float]
 
@@ -30,21 +39,23 @@
 
     def __init__(self, slowdowns: Slowdowns, round_: PlanningRound) -> None:
         self._slowdowns = slowdowns
-        self._started: dict[str, Counter[TaskKind]] = {}
+        self._kinds: dict[str, Counter[TaskKind]] = {}  # Of workers with starts in the round.
+        self._costs: dict[TaskKind, dict[str, float]] = {}
+        self._sorted: dict[TaskKind, list[FleetWorker]] = {}
         for start in round_.starts:
             for worker_id in start.workers.values():
-                kinds = self._started.setdefault(worker_id, Counter())
+                kinds = self._kinds.setdefault(worker_id, Counter())
                 kinds[start.unit.step.kind] += 1
-        self._kinds: dict[str, Counter[TaskKind]] = {}
-        self._costs: dict[TaskKind, dict[str, float]] = {}
+        self._is_complete: set[str] = set()  # Workers whose running tasks are counted, too.
 
     def get(self, worker: FleetWorker) -> Counter[TaskKind]:
-        """Return the number of tasks on a worker by kind."""
+        """Return the number of tasks on a worker by kind, not to be changed."""
         kinds = self._kinds.get(worker.id)
         if kinds is None:
-            kinds = Counter(p.kind for p in worker.placements.values() if p.kind)
-            kinds.update(self._started.get(worker.id, ()))
-            self._kinds[worker.id] = kinds
+            return worker.kinds
+        if worker.id not in self._is_complete:
+            kinds.update(worker.kinds)
+            self._is_complete.add(worker.id)
         return kinds
 
     def get_others(self, worker: FleetWorker, kind: TaskKind, own_count: int) -> Counter[TaskKind]:
@@ -53,27 +64,78 @@
         kinds[kind] -= own_count
         return +kinds
 
-    def get_costs(self, kind: TaskKind) -> dict[str, float]:
-        """Return the known costs of one more task of a kind, by worker."""
-        return self._costs.setdefault(kind, {})
-
     def compute_cost(self, kind: TaskKind, worker: FleetWorker) -> float:
-        """Return the cost of one more task of a kind on a worker, and remember it."""
-        needs_kinds = self._slowdowns.depends_on_neighbours(kind)
-        kinds = self.get(worker) if needs_kinds else Counter()
-        cost = self._slowdowns.compute_cost(kind, worker.id, kinds)
-        self._costs.setdefault(kind, {})[worker.id] = cost
+        """Return the cost of one more task of a kind on a worker."""
+        costs = self._costs.get(kind)
+        if costs is None:
+            costs = self._costs[kind] = {}
+        cost = costs.get(worker.id)
+        if cost is None:
+            cost = self._slowdowns.compute_cost(kind, worker.id, self.get(worker))
+            costs[worker.id] = cost
         return cost
 
-    def move(self, kind: TaskKind, source: FleetWorker, target: FleetWorker, count: int) -> None:
-        """Record that tasks of the round move to another worker."""
-        self._kinds[source.id] = self.get_others(source, kind, count)
-        self.get(target)[kind] += count
+    def sort_workers(self, kind: TaskKind, fleet: Fleet) -> list[FleetWorker]:
+        """Return all workers by the cost of one more task of a kind, as it was at first."""
+        workers = self._sorted.get(kind)
+        if workers is None:
+            workers = sorted(fleet, key=lambda worker: self.compute_cost(kind, worker))
+            self._sorted[kind] = workers
+        return workers
+
+    def move(self, kind: TaskKind, source: FleetWorker, target: FleetWorker) -> None:
+        """Record that a task of the round moves to another worker."""
+        self._kinds[source.id] = self.get_others(source, kind, 1)
+        self._kinds[target.id] = self.get(target).copy()
+        self._kinds[target.id][kind] += 1
+        self._is_complete.update((source.id, target.id))
         for costs in self._costs.values():
             costs.pop(source.id, None)
             costs.pop(target.id, None)
 
 
+class StepTargets:
+    """Workers to which tasks of one step may move, those with the lowest score first.
+
+    Scores that other moves have changed are corrected when a worker comes first.
+    """
+
+    def __init__(
+        self, candidates: list[FleetWorker], *, score: Callable[[FleetWorker], float | None]
+    ) -> None:
+        self._candidates = candidates
+        self._score = score
+        self._heap: list[tuple[float, int]] = []
+        for number, worker in enumerate(candidates):
+            value = score(worker)
+            if value is not None:
+                self._heap.append((value, number))
+        heapq.heapify(self._heap)
+
+    def find(
+        self, below: float, *, is_allowed: Callable[[FleetWorker], bool]
+    ) -> FleetWorker | None:
+        """Return the first allowed worker with a lower score than a value, or None."""
+        passed: list[tuple[float, int]] = []
+        found = None
+        while self._heap and self._heap[0][0] < below and len(passed) < MAX_PASSED_TARGETS:
+            value, number = heapq.heappop(self._heap)
+            worker = self._candidates[number]
+            current = self._score(worker)
+            if current is None:
+                continue
+            if current > value:
+                heapq.heappush(self._heap, (current, number))
+                continue
+            passed.append((current, number))
+            if is_allowed(worker):
+                found = worker
+                break
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
+
+
 class StartRelocator:
     """Reduces the cost in time of the starts of each round."""
 
@@ -98,32 +160,21 @@
             return
         self._slowdowns.fade()
         neighbours = RoundNeighbours(self._slowdowns, round_)
-        candidates: dict[tuple[str, int, int], list[FleetWorker]] = {}
+        targets: dict[StepKey, StepTargets] = {}
+        lowest = self._slowdowns.compute_lowest_cost()
         for number, start in enumerate(round_.starts):
             step = start.unit.step
             # Tasks under which workers crashed keep the workers that were chosen for that.
-            if start.unit.is_suspect or not self._may_improve(start):
+            if start.unit.is_suspect:
                 continue
-            if step.key not in candidates:
-                candidates[step.key] = self._list_candidates(step, round_)
-            usable = candidates[step.key]
             if step.message.gang:
-                workers = self._relocate_gang(start, usable, round_, neighbours)
+                workers = self._relocate_gang(start, round_, neighbours, lowest)
             else:
-                workers = self._relocate_task(start, usable, round_, neighbours)
+                workers = self._relocate_task(start, round_, neighbours, lowest, targets)
             if workers is not None:
                 tickets = self._advice.get(step.key).select_tickets(workers.values())
                 round_.starts[number] = replace(start, workers=workers, tickets=tickets)
 
-    def _may_improve(self, start: PlannedStart) -> bool:
-        """Return whether any other worker may be better than those of a start."""
-        if self._slowdowns.depends_on_neighbours(start.unit.step.kind):
-            return True
-        speeds = self._slowdowns.speeds
-        fastest = min((s.believed for s in speeds.believed.values()), default=0.0)
-        slowest = max(map(speeds.get_believed, start.workers.values()))
-        return slowest > min(0.0, fastest)
-
     def _get_worker(self, worker_id: str) -> FleetWorker:
         worker = self._fleet.get(worker_id)
         assert worker is not None
@@ -132,40 +183,54 @@
     def _relocate_task(
         self,
         start: PlannedStart,
-        candidates: list[FleetWorker],
         round_: PlanningRound,
         neighbours: RoundNeighbours,
+        lowest: float,
+        targets: dict[StepKey, StepTargets],
     ) -> dict[int, str] | None:
         unit, step = start.unit, start.unit.step
         [(position, worker_id)] = start.workers.items()
         source = self._get_worker(worker_id)
         others = neighbours.get_others(source, step.kind, 1)
-        source_cost = self._slowdowns.compute_cost(step.kind, source.id, others)
+        highest = self._slowdowns.compute_cost(step.kind, source.id, others) - MIN_GAIN
+        if highest < lowest:
+            return None
         full = self._list_full_workers(step, round_) if step.message.max_per_worker else ()
-        best: FleetWorker | None = None
-        source_free = round_.get_free(source) + step.amounts
-        best_score = source_cost + self._score_fit(step, source, source_free)
-        costs = neighbours.get_costs(step.kind)
-        for worker in candidates:
-            cost = costs.get(worker.id)
-            if cost is None:
-                cost = neighbours.compute_cost(step.kind, worker)
-            if cost >= source_cost or worker is source:
-                continue
-            free = round_.get_free(worker)
-            if not step.amounts.fits_in(free) or worker.id in full or worker.id in unit.avoided:
-                continue
-            score = cost + self._score_fit(step, worker, free)
-            if score < best_score:
-                best, best_score = worker, score
-        if best is None:
+
+        def score(worker: FleetWorker) -> float | None:
+            fit = self._score_fit(step, worker, round_.get_free(worker))
+            return None if fit is None else fit + neighbours.compute_cost(step.kind, worker)
+
+        if step.key not in targets:
+            candidates = set(self._list_candidates(step, round_))
+            fitting = (
+                worker
+                for worker in neighbours.sort_workers(step.kind, self._fleet)
+                if worker in candidates and step.amounts.fits_in(round_.get_free(worker))
+            )
+            targets[step.key] = StepTargets(list(islice(fitting, MAX_TARGETS)), score=score)
+        fit = self._score_fit(step, source, round_.get_free(source) + step.amounts)
+        assert fit is not None
+        target = targets[step.key].find(
+            fit + highest,
+            is_allowed=lambda worker: (
+                neighbours.compute_cost(step.kind, worker) <= highest
+                and worker is not source
+                and worker.id not in full
+                and worker.id not in unit.avoided
+            ),
+        )
+        if target is None:
             return None
-        round_.move(source, best, step.amounts)
-        neighbours.move(step.kind, source, best, 1)
+        round_.move(source, target, step.amounts)
+        neighbours.move(step.kind, source, target)
         self._slowdowns.record_changed_placement(step.kind, others)
-        return {position: best.id}
+        return {position: target.id}
 
-    def _score_fit(self, step: StepRun, worker: FleetWorker, free: Amounts) -> float:
+    def _score_fit(self, step: StepRun, worker: FleetWorker, free: Amounts) -> float | None:
+        """Return the score without the cost in time, or None if a task does not fit."""
+        if not step.amounts.fits_in(free):
+            return None
         fraction = compute_max_free_fraction(step.amounts, free, worker.capacity)
         return self._get_penalty(worker) + fraction
 
@@ -185,15 +250,20 @@
     def _relocate_gang(
         self,
         start: PlannedStart,
-        candidates: list[FleetWorker],
         round_: PlanningRound,
         neighbours: RoundNeighbours,
+        lowest: float,
     ) -> dict[int, str] | None:
         """Move a gang to workers of one speed on which all its members end sooner, if they fit."""
         unit, step = start.unit, start.unit.step
         own = Counter(start.workers.values())
+        depends_on_neighbours = self._slowdowns.depends_on_neighbours(step.kind)
+        speed_cost = max(self._slowdowns.compute_cost(step.kind, w, {}) for w in own)
+        if not depends_on_neighbours and speed_cost - MIN_GAIN < lowest:
+            return None
+        candidates = self._list_candidates(step, round_)
         others: dict[str, Counter[TaskKind]] = defaultdict(Counter)
-        if self._slowdowns.depends_on_neighbours(step.kind):
+        if depends_on_neighbours:
             for worker in (*candidates, *map(self._get_worker, own)):
                 others[worker.id] = neighbours.get_others(worker, step.kind, own[worker.id])
 
@@ -201,12 +271,14 @@
             # All members wait for the one that takes longest.
             return max(self._slowdowns.compute_cost(step.kind, w, others[w]) for w in workers)
 
-        best, lowest = own, get_worst(own)
+        best, best_cost = own, get_worst(own) - MIN_GAIN
         for group in self._group_for_gang(step, candidates, others):
             chosen = self._pack(step, unit, group, own, round_)
-            worst = lowest if chosen is None else get_worst(chosen)
-            if chosen is not None and worst < lowest:
-                best, lowest = chosen, worst
+            if chosen is None:
+                continue
+            cost = get_worst(chosen)
+            if cost < best_cost:
+                best, best_cost = chosen, cost
         if best is own:
             return None
         self._move_gang(step, own, best, round_, neighbours)
@@ -263,4 +335,4 @@
         for source_id, target_id in zip(sources, targets, strict=True):
             source, target = self._get_worker(source_id), self._get_worker(target_id)
             round_.move(source, target, step.amounts)
-            neighbours.move(step.kind, source, target, 1)
+            neighbours.move(step.kind, source, target)
--- a/src/dewspindle/_internal/jobs/run_observer.py
+++ b/src/dewspindle/_internal/jobs/run_observer.py
@@ -1,6 +1,6 @@
 """Reads from the ends of tasks how long they ran, and beside which others."""
 
-from ..scheduling.run_times import MIN_RUN_S, IgnoredRunTime, Overlap, RunTime
+from ..scheduling.run_times import MIN_RUN_S, IgnoredRunTime, RunTime, add_period
 from ..scheduling.slowdowns import Slowdowns
 from ..schema import jobs_pb2
 from ..utils.timers import TimerService
@@ -9,8 +9,6 @@
 from .runs import UnitRun
 
 FULL_SPEED_PERCENT = 100
-# Of which the times are kept for a running task; more would change what it is compared with little.
-MAX_OVERLAPS = 100
 
 
 class RunObserver:
@@ -46,7 +44,7 @@
                 worker=placement.worker.id,
                 ran_s=ran_s,
                 estimate_s=placement.estimate_s,
-                overlaps=tuple(placement.overlaps),
+                beside=placement.beside,
             )
         )
 
@@ -85,7 +83,10 @@
 
 def _add_overlap(placement: Placement, other: Placement, now: float) -> None:
     """Add when another placement on the worker ran beside one."""
-    if other.kind and len(placement.overlaps) < MAX_OVERLAPS:
-        from_s = max(0.0, other.placed_at - placement.placed_at)
-        overlap = Overlap(other.kind, from_s, now - placement.placed_at)
-        placement.overlaps.append(overlap)
+    if not other.kind:
+        return
+    periods = placement.beside.get(other.kind)
+    if periods is None:
+        periods = placement.beside[other.kind] = []
+    from_s = max(0.0, other.placed_at - placement.placed_at)
+    add_period(periods, from_s, now - placement.placed_at)
--- a/src/dewspindle/_internal/scheduling/interference.py
+++ b/src/dewspindle/_internal/scheduling/interference.py
@@ -70,6 +70,8 @@
 
     def check(self, now: float) -> bool:
         """Return whether the effect is certain, or still certain enough if it was before."""
+        if not self.believed and self.effect < MIN_EFFECT:
+            return False
         samples = min(self.beside.get_weight(now), self.apart.get_weight(now))
         if self.believed:
             return samples >= MIN_SAMPLES_KEPT and self.recent.mean - self.apart.mean >= MIN_EFFECT
@@ -139,9 +141,11 @@
             # The effect of this neighbour is what the pair is about, so it stays in.
             pair.add_beside(residual + pair.believed * part, worker, now)
         for other, pair in row.items():
-            if exposure.get(other, 0.0) <= APART_MAX:
+            part = exposure.get(other, 0.0)
+            if part <= APART_MAX:
                 pair.apart.add(residual, now)
-            self._update(kind, other, pair, now)
+            if part <= APART_MAX or part >= BESIDE_MIN:
+                self._update(kind, other, pair, now)
 
     def fade(self, now: float) -> None:
         """Drop beliefs that stand for too few recent tasks."""
--- a/src/dewspindle/_internal/scheduling/job_placement.py
+++ b/src/dewspindle/_internal/scheduling/job_placement.py
@@ -29,10 +29,9 @@
 
 def compute_max_free_fraction(amounts: Amounts, available: Amounts, capacity: Amounts) -> float:
     """Return the larger fraction of processors or memory that a task leaves free on a worker."""
-    rest = available - amounts
     return max(
-        rest.processors / max(1, capacity.processors),
-        rest.memory_mb / max(1, capacity.memory_mb),
+        (available.processors - amounts.processors) / max(1, capacity.processors),
+        (available.memory_mb - amounts.memory_mb) / max(1, capacity.memory_mb),
     )
 
 
--- a/src/dewspindle/_internal/scheduling/run_times.py
+++ b/src/dewspindle/_internal/scheduling/run_times.py
@@ -41,13 +41,16 @@
     NOT_COMPARABLE = "not-comparable"  # The task did not run whole, alone or at full speed.
 
 
-@dataclass(frozen=True, slots=True)
-class Overlap:
-    """When a task of a kind ran beside another task, in seconds since the start of the latter."""
+# When tasks of a kind ran beside another task, in seconds since its start, in order and
+# without overlaps.
+Periods = list[tuple[float, float]]
 
-    kind: TaskKind
-    from_s: float
-    until_s: float
+
+def add_period(periods: Periods, from_s: float, until_s: float) -> None:
+    """Add a period that ends last, and join it with those that it overlaps."""
+    while periods and periods[-1][1] >= from_s:
+        from_s = min(from_s, periods.pop()[0])
+    periods.append((from_s, until_s))
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +63,7 @@
     worker: str
     ran_s: float
     estimate_s: float
-    overlaps: tuple[Overlap, ...]  # With other tasks on the worker.
+    beside: Mapping[TaskKind, Periods]  # Other tasks on its worker.
 
     @property
     def is_valid(self) -> bool:
@@ -70,7 +73,11 @@
             and self.step_size > 0
             and MIN_RUN_S <= self.ran_s <= MAX_RUN_S
             and 0.0 <= self.estimate_s < math.inf
-            and all(0.0 <= other.from_s <= other.until_s < math.inf for other in self.overlaps)
+            and all(
+                0.0 <= from_s <= until_s < math.inf
+                for periods in self.beside.values()
+                for from_s, until_s in periods
+            )
         )
 
     def compute_exposure(self, expected_s: float) -> dict[TaskKind, float]:
@@ -80,15 +87,11 @@
         ones for that reason alone.
         """
         observed_s = min(self.ran_s, expected_s)
-        covered_s: dict[TaskKind, float] = {}
-        seen_until_s: dict[TaskKind, float] = {}
-        for other in sorted(self.overlaps, key=lambda overlap: overlap.from_s):
-            from_s = max(other.from_s, seen_until_s.get(other.kind, 0.0))
-            until_s = min(other.until_s, observed_s)
-            if until_s > from_s:
-                covered_s[other.kind] = covered_s.get(other.kind, 0.0) + until_s - from_s
-                seen_until_s[other.kind] = until_s
-        return {kind: seconds / observed_s for kind, seconds in covered_s.items()}
+        return {
+            kind: sum(max(0.0, min(until, observed_s) - from_s) for from_s, until in periods)
+            / observed_s
+            for kind, periods in self.beside.items()
+        }
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/dewspindle/_internal/scheduling/slowdowns.py
+++ b/src/dewspindle/_internal/scheduling/slowdowns.py
@@ -146,10 +146,10 @@
         self._speeds.fade(now)
         self._pairs.fade(now)
 
-    def compute_slowness(self, worker: str) -> float:
-        """Return the extra time on a worker as a fraction of a task's estimate."""
-        believed = self._speeds.get_believed(worker)
-        return math.exp(believed) - 1.0 if believed else 0.0
+    def compute_lowest_cost(self) -> float:
+        """Return the lowest cost of any placement, which is one on the fastest worker."""
+        fastest = min((s.believed for s in self._speeds.believed.values()), default=0.0)
+        return TIME_COST_WEIGHT * max(MIN_EXTRA, math.exp(min(0.0, fastest)) - 1.0)
 
     def depends_on_neighbours(self, kind: TaskKind) -> bool:
         """Return whether a kind is in any believed pair."""
@@ -164,7 +164,9 @@
         """
         log_factor = self._speeds.get_believed(worker)
         slowed_by = self._pairs.get_slowed_by(kind)
-        log_factor += sum(slowed_by[other].believed for other in neighbours if other in slowed_by)
+        for other, pair in slowed_by.items():
+            if other in neighbours:
+                log_factor += pair.believed
         extra = math.exp(log_factor) - 1.0
         # Neighbours that already are beside the kind are not slowed down more.
         if not neighbours.get(kind):
