--- a/features/lib/uneven_fleet.py
+++ b/features/lib/uneven_fleet.py
@@ -31,7 +31,7 @@
     steps_per_s: float
 
 
-@dataclass
+@dataclass(eq=False)
 class Run:
     """A task at work."""
 
--- a/src/dewspindle/_internal/jobs/relocation.py
+++ b/src/dewspindle/_internal/jobs/relocation.py
@@ -42,6 +42,8 @@
         self._kinds: dict[str, Counter[TaskKind]] = {}  # Of workers with starts in the round.
         self._costs: dict[TaskKind, dict[str, float]] = {}
         self._sorted: dict[TaskKind, list[FleetWorker]] = {}
+        self._related: dict[TaskKind, frozenset[TaskKind]] = {}
+        self._speed_costs = slowdowns.compute_speed_costs()
         for start in round_.starts:
             for worker_id in start.workers.values():
                 kinds = self._kinds.setdefault(worker_id, Counter())
@@ -64,6 +66,12 @@
         kinds[kind] -= own_count
         return +kinds
 
+    def _get_related(self, kind: TaskKind) -> frozenset[TaskKind]:
+        related = self._related.get(kind)
+        if related is None:
+            related = self._related[kind] = self._slowdowns.list_related(kind)
+        return related
+
     def compute_cost(self, kind: TaskKind, worker: FleetWorker) -> float:
         """Return the cost of one more task of a kind on a worker."""
         costs = self._costs.get(kind)
@@ -71,7 +79,11 @@
             costs = self._costs[kind] = {}
         cost = costs.get(worker.id)
         if cost is None:
-            cost = self._slowdowns.compute_cost(kind, worker.id, self.get(worker))
+            kinds = self.get(worker)
+            if self._get_related(kind).isdisjoint(kinds):
+                cost = self._speed_costs.get(worker.id, 0.0)
+            else:
+                cost = self._slowdowns.compute_cost(kind, worker.id, kinds)
             costs[worker.id] = cost
         return cost
 
@@ -257,7 +269,7 @@
         """Move a gang to workers of one speed on which all its members end sooner, if they fit."""
         unit, step = start.unit, start.unit.step
         own = Counter(start.workers.values())
-        depends_on_neighbours = self._slowdowns.depends_on_neighbours(step.kind)
+        depends_on_neighbours = bool(self._slowdowns.list_related(step.kind))
         speed_cost = max(self._slowdowns.compute_cost(step.kind, w, {}) for w in own)
         if not depends_on_neighbours and speed_cost - MIN_GAIN < lowest:
             return None
--- a/src/dewspindle/_internal/scheduling/slowdowns.py
+++ b/src/dewspindle/_internal/scheduling/slowdowns.py
@@ -60,6 +60,10 @@
     changed_placements: int  # Since the leader began, for all reasons.
 
 
+def _limit_cost(extra: float) -> float:
+    return TIME_COST_WEIGHT * max(MIN_EXTRA, min(MAX_EXTRA, extra))
+
+
 class Slowdowns:
     """Speeds of workers and effects of neighbours, learnt from the ends of tasks.
 
@@ -149,11 +153,18 @@
     def compute_lowest_cost(self) -> float:
         """Return the lowest cost of any placement, which is one on the fastest worker."""
         fastest = min((s.believed for s in self._speeds.believed.values()), default=0.0)
-        return TIME_COST_WEIGHT * max(MIN_EXTRA, math.exp(min(0.0, fastest)) - 1.0)
+        return _limit_cost(math.exp(min(0.0, fastest)) - 1.0)
 
-    def depends_on_neighbours(self, kind: TaskKind) -> bool:
-        """Return whether a kind is in any believed pair."""
-        return bool(self._pairs.get_slowed_by(kind) or self._pairs.get_slows(kind))
+    def compute_speed_costs(self) -> dict[str, float]:
+        """Return the cost of a placement without neighbours on each worker that is not usual."""
+        return {
+            worker: _limit_cost(math.exp(speed.believed) - 1.0)
+            for worker, speed in self._speeds.believed.items()
+        }
+
+    def list_related(self, kind: TaskKind) -> frozenset[TaskKind]:
+        """Return the kinds that are believed to slow a kind or to be slowed by it."""
+        return frozenset((*self._pairs.get_slowed_by(kind), *self._pairs.get_slows(kind)))
 
     def compute_cost(
         self, kind: TaskKind, worker: str, neighbours: Mapping[TaskKind, int]
@@ -172,15 +183,11 @@
         if not neighbours.get(kind):
             for other, pair in self._pairs.get_slows(kind).items():
                 extra += neighbours.get(other, 0) * (math.exp(pair.believed) - 1.0)
-        return TIME_COST_WEIGHT * max(MIN_EXTRA, min(MAX_EXTRA, extra))
+        return _limit_cost(extra)
 
     def has_bad_neighbours(self, kind: TaskKind, neighbours: Mapping[TaskKind, int]) -> bool:
         """Return whether a kind and any of its neighbours are believed to interfere."""
-        return any(
-            other in row
-            for row in (self._pairs.get_slowed_by(kind), self._pairs.get_slows(kind))
-            for other in neighbours
-        )
+        return not self.list_related(kind).isdisjoint(neighbours)
 
     def record_changed_placement(self, kind: TaskKind, neighbours: Counter[TaskKind]) -> None:
         """Count a placement that avoids a worker with the given tasks."""
