--- a/features/interference.feature
+++ b/features/interference.feature
@@ -68,6 +68,13 @@
     And the end of a task whose worker has not answered for a while teaches nothing
     And so does the end of a task that failed, continued, or was limited in its speed
 
+  # Guards the way from the workers' lists to what is learnt, which the stand-in fleet leaves out.
+  Scenario: The leader of a cell learns from the lists of its workers
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And 30 jobs of 4 tasks over 15 seconds
+    When the cell runs for 20 seconds
+    Then the leader has learnt the speeds of some workers, and none is believed to be slow
+
   Scenario: Memory is bounded by the number of kinds and workers
     When tasks of 300 kinds end on 6000 workers
     Then at most 4096 pairs and 5000 workers are kept
--- a/features/steps/interference_steps.py
+++ b/features/steps/interference_steps.py
@@ -240,6 +240,13 @@
         assert count_observed(context, **{name: True}) == 0, name
 
 
+@then("the leader has learnt the speeds of some workers, and none is believed to be slow")
+def then_cell_learnt(context):
+    slowdowns = context.cell.leader.job_leader_services.dispatcher._planner.interference
+    assert slowdowns.is_enabled and len(slowdowns.speeds) > 0
+    assert not slowdowns.describe().workers and not slowdowns.describe().pairs
+
+
 @when("tasks of {kinds:d} kinds end on {workers:d} workers")
 def when_many_kinds(context, kinds, workers):
     context.fleet = make_fleet(seed=1)
--- a/src/dewspindle/_internal/scheduling/slowdowns.py
+++ b/src/dewspindle/_internal/scheduling/slowdowns.py
@@ -201,7 +201,6 @@
     def describe(self) -> SlowdownsDescription:
         """Return what is believed now."""
         now = self._timers.now()
-        self.fade()
         pairs = [
             PairDescription(
                 slowed=kind,
@@ -213,6 +212,7 @@
                 changed_placements=pair.changed_placements,
             )
             for kind, other, pair in self._pairs.list_believed()
+            if pair.check(now)
         ]
         workers = [
             WorkerDescription(
@@ -222,5 +222,6 @@
                 last_sample_age_s=speed.slowness.get_age_s(now),
             )
             for worker, speed in self._speeds.believed.items()
+            if speed.is_recent(now)
         ]
         return SlowdownsDescription(self._is_enabled, pairs, workers, self._changed_placements)
--- a/src/dewspindle/_internal/scheduling/worker_speeds.py
+++ b/src/dewspindle/_internal/scheduling/worker_speeds.py
@@ -40,13 +40,17 @@
         """Return the mean, drawn towards no difference while it stands for few tasks."""
         return self.slowness.mean * min(1.0, self.slowness.get_weight(now) / MIN_SAMPLES)
 
+    def is_recent(self, now: float) -> bool:
+        """Return whether enough recent tasks stand for a belief that is held."""
+        return self.slowness.get_weight(now) >= MIN_SAMPLES_KEPT
+
     def update_belief(self, now: float) -> None:
         """Believe in a difference that is certain enough, or drop one that is not any more."""
         size = abs(self.slowness.mean)
-        weight = self.slowness.get_weight(now)
         if self.believed:
-            is_believed = size >= MIN_KEPT and weight >= MIN_SAMPLES_KEPT
+            is_believed = size >= MIN_KEPT and self.is_recent(now)
         else:
+            weight = self.slowness.get_weight(now)
             error = self.slowness.compute_error(now)
             is_believed = (
                 weight >= MIN_SAMPLES and size - ERRORS_BEFORE_BELIEF * error >= MIN_BELIEVED
