--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -3,7 +3,7 @@
 Arrivals, workers, run times and the advisor are modelled; the order, the placement and the choice
 of workers to ask about are the product's. The network, the log and failures are left out.
 
-    python -m bench.job_model --workers 270 --load 1.5 --seconds 40
+    python -m bench.job_model --workers 270 --load 1.5 --seconds 40 --learn
 """
 
 import argparse
@@ -24,8 +24,10 @@
 from dewspindle._internal.jobs.placements import PlacementPhase
 from dewspindle._internal.jobs.planning import JobPlanner
 from dewspindle._internal.jobs.planning_round import PlannedStart
+from dewspindle._internal.jobs.run_observer import RunObserver
 from dewspindle._internal.jobs.runs import JobRun, UnitRun
 from dewspindle._internal.scheduling.job_advice import ApprovalOdds
+from dewspindle._internal.scheduling.slowdowns import Slowdowns
 from dewspindle._internal.schema import jobs_pb2, resources_pb2
 
 ORDER_S = 0.01  # From the plan of a start to its task at work, or from its end to the next plan.
@@ -213,6 +215,8 @@
         seed: int,
         kinds: tuple[JobKind, ...],
         burst: float = 1.0,
+        learns: bool = False,
+        speeds: tuple[float, ...] = SPEEDS,
     ) -> None:
         self.burst = burst
         self.timers = ModelTimers()
@@ -223,6 +227,7 @@
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._numbers = itertools.count()
         self.fleet = Fleet()
+        self._speed_choices = speeds
         self.speeds: dict[str, float] = {}
         for number in range(workers):
             self._add_worker(f"w{number}")
@@ -235,11 +240,15 @@
             advice=self.advisor,  # type: ignore[arg-type]
             store=self.store,
             timers=self.timers,  # type: ignore[arg-type]
+            slowdowns=Slowdowns(timers=self.timers, is_enabled=learns),  # type: ignore[arg-type]
         )
+        self.observer = RunObserver(self.planner.interference, timers=self.timers)  # type: ignore[arg-type]
         self.earned: dict[str, float] = defaultdict(float)
         self.owed: dict[str, float] = defaultdict(float)
         self.counts: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
         self.round_s: list[float] = []
+        self.observe_s = 0.0  # Time of learning from the ends of tasks.
+        self.ends = 0
 
     def _add_worker(self, name: str) -> None:
         capacity = resources_pb2.Resources(processors=32_000, memory_mb=131_072)
@@ -247,7 +256,7 @@
         worker.is_reconciled = True
         worker.last_heartbeat_at = worker.capacity_known_at = math.inf
         worker.lease.record_clock(0, received_at=0.0)
-        self.speeds[name] = self._rng.choice(SPEEDS)
+        self.speeds[name] = self._rng.choice(self._speed_choices)
 
     @staticmethod
     def _make_queue(kind: JobKind) -> jobs_pb2.Queue:
@@ -367,6 +376,10 @@
         stored = unit.step.run.stored
         for placement in list(unit.placements.values()):
             placement.worker.release(placement)
+            started_at = time.perf_counter()
+            self.observer.record_end(placement, jobs_pb2.END_DONE, unit)
+            self.observe_s += time.perf_counter() - started_at
+            self.ends += 1
         unit.placements.clear()
         self._apply(stored, unit, attempt, jobs_pb2.END_DONE)
         self.planner.finish_unit(unit)
@@ -404,17 +417,35 @@
             },
             "jobs": {name: dict(counts) for name, counts in self.counts.items()},
             "advice_calls": self.advisor.calls,
+            "changed_placements": self.planner.interference.describe().changed_placements,
+            "observe_us_per_end": round(self.observe_s / max(1, self.ends) * 1e6, 1),
+            "plan_s": round(sum(rounds), 3),
             "round_ms_p50": round(rounds[len(rounds) // 2] * 1000, 2),
             "round_ms_p99": round(rounds[int(len(rounds) * 0.99)] * 1000, 2),
         }
 
 
 def play(
-    *, workers: int, load: float, seconds: float, seed: int, burst: float = 1.0
+    *,
+    workers: int,
+    load: float,
+    seconds: float,
+    seed: int,
+    burst: float = 1.0,
+    learns: bool = False,
+    speeds: tuple[float, ...] = SPEEDS,
 ) -> dict[str, Any]:
     """Play one run and return its summary; in a burst, jobs of one kind arrive more often."""
     kinds = tuple(_scale(kind, workers / 270) for kind in KINDS)
-    model = JobModel(workers=workers, load=load, seed=seed, kinds=kinds, burst=burst)
+    model = JobModel(
+        workers=workers,
+        load=load,
+        seed=seed,
+        kinds=kinds,
+        burst=burst,
+        learns=learns,
+        speeds=speeds,
+    )
     model.run(seconds)
     return model.summarize()
 
@@ -432,6 +463,10 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--burst", type=float, default=1.0, help="times the arrivals of gangs")
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument(
+        "--learn", action="store_true", help="prefer fast workers and good neighbours"
+    )
+    parser.add_argument("--speeds", type=float, nargs="+", default=SPEEDS, help="of workers")
     arguments = parser.parse_args()
     for seed in range(1, arguments.seeds + 1):
         summary = play(
@@ -440,6 +475,8 @@
             seconds=arguments.seconds,
             seed=seed,
             burst=arguments.burst,
+            learns=arguments.learn,
+            speeds=tuple(arguments.speeds),
         )
         print(json.dumps({"seed": seed, "load": arguments.load, **summary}))
 
--- a/bench/leader_cost.py
+++ b/bench/leader_cost.py
@@ -238,9 +238,7 @@
             print(json.dumps(anyio.run(play_load, json.loads(arguments.load))))
         else:
             for _ in range(arguments.runs):
-                with tempfile.TemporaryDirectory(
-                    prefix="dewspindle-bench-", dir="/dev/shm"
-                ) as folder:
+                with tempfile.TemporaryDirectory(prefix="dewspindle-bench-") as folder:
                     run = LeaderRun(arguments, folder=folder)
                     results = anyio.run(run.run)
                     run.write_profile()
--- a/features/lib/job_cell.py
+++ b/features/lib/job_cell.py
@@ -41,7 +41,11 @@
             helpers=HelperRegistry(
                 own_address=self.address, list_replicas=list, timers=self.timers
             ),
-            limits=DispatchLimits(lease_s=LEASE_S, keep_ended_ms=120_000),
+            limits=DispatchLimits(
+                lease_s=LEASE_S,
+                keep_ended_ms=120_000,
+                avoids_interference=self.cell.avoids_interference,
+            ),
             timers=self.timers,
             metrics=Metrics(instance=self.name, zone="z"),
         )
@@ -95,6 +99,7 @@
         self.approved: set[str] = set()  # Workers, without the incarnation in their ids.
         self.fleet = CalledFleet(self, size=workers)
         self.advisor: jobs_pb2.Advisor | None = None
+        self.avoids_interference = False
 
     async def configure(self, *, max_attempts: int = 3) -> None:
         """Propose a queue table with one queue."""
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -50,9 +50,10 @@
 
 
 @given("a cell of {replicas:d} replicas whose leader sends orders to {workers:d} workers")
-def given_cell(context, replicas, workers, advisor=None):
+def given_cell(context, replicas, workers, advisor=None, *, avoids_interference=False):
     cell = JobCell(context.folder, size=replicas, seed=1, workers=workers, **FLAGS)
     cell.advisor = advisor
+    cell.avoids_interference = avoids_interference
     host_cell(context, cell)
     context.jobs = 0
 
@@ -65,6 +66,11 @@
     context.run(prepare())
 
 
+@given("a cell of {replicas:d} replicas that learns from the run times on {workers:d} workers")
+def given_learning_cell(context, replicas, workers):
+    given_cell(context, replicas, workers, avoids_interference=True)
+
+
 @given("jobs with dependent steps, a gang, checkpointing tasks and tasks that fail once")
 def given_jobs(context):
     submit_job(context, make_plan(make_step(4), make_step(3, depends_on=[0])))
--- a/features/team_views.feature
+++ b/features/team_views.feature
@@ -58,7 +58,7 @@
       | /v1/teams        | nobody    |
 
   Scenario: The model of interference is shown whatever its fields are, and a failure is contained
-    Then the view of interference is []
+    Then the view of interference is {"is_enabled": false, "pairs": [], "workers": [], "changed_placements": 0}
     When the planner describes interference by dataclasses
     Then the view of interference is {"kinds": ["a", "b"], "age_s": null, "slow": {"w / 1": 0.55}}
     When the planner describes interference by a key's digest
@@ -84,7 +84,7 @@
       | command      | named     | output | status | text               |
       | teams        | the other | table  | 0      | jobs counted for   |
       | teams        | the other | json   | 0      | "teams": []        |
-      | interference | the other | table  | 0      | interference: none |
-      | interference | the other | json   | 0      | "interference": [] |
+      | interference | the other | table  | 0      | pairs: none        |
+      | interference | the other | json   | 0      | "workers": []      |
       | teams        | itself    | table  | 1      | not-leader         |
       | teams        | the entry | table  | 1      | does not serve     |
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -12,6 +12,7 @@
 from ..cell.view import CellView
 from ..replication.replica import Replica
 from ..scheduling.admission import AdmissionControl
+from ..scheduling.slowdowns import Slowdowns
 from ..scheduling.start_pacing import StartPacer
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
@@ -54,6 +55,8 @@
     heartbeats: HeartbeatLimits = field(default_factory=HeartbeatLimits)
     paces_starts: bool = False  # Whether starts are limited while the event loop falls behind.
     max_lease_s: float = 0.0  # Longest lease that workers accept, if longer than `lease_s`.
+    # Whether run times are learnt from, so that starts avoid slow workers and bad neighbours.
+    avoids_interference: bool = False
 
 
 class JobDispatcher(StateListener):
@@ -105,6 +108,9 @@
             advice=self._advice,
             store=view.state.job_store,
             timers=timers,
+            slowdowns=Slowdowns(
+                timers=timers, metrics=metrics, is_enabled=limits.avoids_interference
+            ),
         )
         self._orders = OrderSender(
             gateway=gateway,
--- a/src/dewspindle/_internal/jobs/leader_views.py
+++ b/src/dewspindle/_internal/jobs/leader_views.py
@@ -2,27 +2,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from .dispatcher import JobDispatcher
 from .status_report import TeamReporter
 
 
-class InterferenceSource(Protocol):
-    """Describes which tasks slow each other down, and which workers are slow."""
-
-    def describe(self) -> Any:
-        """Return dataclasses, or collections of them."""
-
-
-class NoInterference:
-    """Takes the place of the model where the planner learns none."""
-
-    def describe(self) -> Any:
-        """Return an empty list."""
-        return []
-
-
 @dataclass(frozen=True, slots=True)
 class LeaderState:
     """What the leader knows during one term."""
@@ -61,5 +46,4 @@
 @leader_view("/v1/interference")
 def describe_interference(state: LeaderState) -> Any:
     """Return what the planner has learned of interference between tasks."""
-    source: InterferenceSource = getattr(state.dispatcher.planner, "interference", NoInterference())
-    return {"interference": source.describe()}
+    return {"interference": state.dispatcher.planner.interference.describe()}
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -1,5 +1,6 @@
 """Assembly of the process that runs one replica (role `cell`)."""
 
+import os
 import random
 
 from ..exceptions import InvalidSettingError
@@ -22,9 +23,20 @@
 from .worker_client import CONNECTIONS_PER_WORKER, WorkerClient
 
 TASK_LEASE_MS = 6000  # Longer than an election and the next leader's first calls to all workers.
+# Learning from run times takes some 6 % of the leader's processor time at 400 ends a second, so it
+# is done only where operators ask for it.
+INTERFERENCE_VARIABLE = "DEWSPINDLE_AVOID_INTERFERENCE"
 RETENTION_MARGIN_MS = 30_000  # Added to the platform's retention period for ended jobs.
 
 
+def read_switch(name: str) -> bool:
+    """Return whether a variable of the environment is on; raise `InvalidSettingError`."""
+    value = os.environ.get(name, "0")
+    if value not in ("0", "1"):
+        raise InvalidSettingError(f"{name} must be 0 or 1, not {value!r}")
+    return value == "1"
+
+
 def make_heartbeat_limits(platform: PlatformSettings) -> HeartbeatLimits:
     """Return the limits of the workers' heartbeats."""
     return HeartbeatLimits(
@@ -55,6 +67,7 @@
         early_ms=platform.early_ms // 2,
         heartbeats=make_heartbeat_limits(platform),
         paces_starts=platform.sheds_load,
+        avoids_interference=read_switch(INTERFERENCE_VARIABLE),
     )
     instance = JobReplicaInstance(
         make_instance_settings(platform),
