Divide the reported slots after a long election

After an election that outlasted the list of instances (three election timeouts), a new leader granted no slot until all earlier leases had ended, 35 s with the defaults. Slots that instances returned meanwhile stayed unused, so an instance without slots refused its calls with queue-timeout. Instances that have not reported cannot hold the slots that others reported, so the leader now divides these at once.

The live scenario at features/call_faults.feature:118 met this when a stall of the event loop of about 0.25 s, longer than the leader lease of 150 ms, led to an election.

The new scenario failed before with the grants 0, 0, 0 where 0, 0, 8 is expected.

--- a/features/shares.feature
+++ b/features/shares.feature
@@ -40,3 +40,14 @@
       | the leader changes                         |
       | the leader changes and responses are lost  |
       | the leader changes and an instance dies    |
+      | the leader changes after a long election   |
+      | the leader changes after a long election and an instance pauses |
+
+  # The new leader learns of the earlier grants from the list of instances, which is too old after a
+  # long election. It then granted no returned slot again until all earlier leases had ended, and the
+  # calls of an instance without slots were refused with queue-timeout.
+  Scenario: Slots returned after a long election are granted again before all earlier leases end
+    Given a leader that divides 8 slots between 3 instances
+    When the third instance alone gets calls for 2 s after a long election
+    Then the third instance has as many slots as the others returned
+    And the sum of the slots that the instances may use never exceeded 8
--- a/features/steps/share_steps.py
+++ b/features/steps/share_steps.py
@@ -14,6 +14,8 @@
 from dewspindle._internal.settings.loading import load_settings
 from features.lib.clock import ManualClock, ManualTimerService
 
+LONG_ELECTION_S = 3.5  # Longer than the admission of an instance, shorter than a share lease.
+
 BACKEND = documents_pb2.BackendDocument(
     id="b", service="s", address="127.0.0.1:1", availability_zone="z", slots=8, state="ready"
 )
@@ -194,7 +196,7 @@
             await simulation.clock.advance(0.3)
             if number == 100:
                 inject_fault(simulation, event)
-            if number == 115 and "leader changes" in event:
+            if number == (112 if "long election" in event else 115) and "leader changes" in event:
                 simulation.start_leader(is_first=False)
             if number == 130:
                 end_fault(simulation)
@@ -230,3 +232,30 @@
 def then_all_used(context):
     alive = {i.settings.instance_id for i in context.simulation.instances if not i.is_dead}
     assert alive <= context.simulation.slot_users, context.simulation.slot_users
+
+
+@when("the third instance alone gets calls for 2 s after a long election")
+def when_third_gets_calls(context):
+    simulation = context.simulation
+
+    async def run_rounds(count, demands):
+        for _ in range(count):
+            await simulation.clock.advance(0.3)
+            await simulation.renew()
+            simulation.apply_demands(demands)
+
+    async def change_leader():
+        await run_rounds(20, [4, 4, 0])
+        context.held = [i.shares.get_share("b").granted for i in simulation.instances]
+        simulation.allocator = None
+        await simulation.clock.advance(LONG_ELECTION_S)
+        simulation.start_leader(is_first=False)
+        await run_rounds(round((simulation.allocator._admission_s + 2) / 0.3), [0, 0, 8])
+
+    context.run(change_leader())
+
+
+@then("the third instance has as many slots as the others returned")
+def then_third_has_slots(context):
+    granted = [i.shares.get_share("b").granted for i in context.simulation.instances]
+    assert granted == [0, 0, sum(context.held)], (context.held, granted)
--- a/src/dewspindle/_internal/routing/share_allocator.py
+++ b/src/dewspindle/_internal/routing/share_allocator.py
@@ -1,5 +1,6 @@
 """Leader-side allocation of backend servers' slots to instances under leases."""
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -43,10 +44,11 @@
 
     A grant ends only when its holder gives it up, or when its lease and the longest call that may
     have begun under it have ended. A new leader accepts the shares that instances report and
-    grants no further slots until each instance known to its predecessor has reported, or until
-    all leases of its predecessor have ended. It knows them from the list of instances that each
-    leader sends in its answers. An instance is therefore granted slots only once it is admitted,
-    which is when it has been listed long enough for every likely next leader to know of it.
+    divides only the slots in them until each instance known to its predecessor has reported, or
+    until all leases of its predecessor have ended. It knows them from the list of instances that
+    each leader sends in its answers. An instance is therefore granted slots only once it is
+    admitted, which is when it has been listed long enough for every likely next leader to know of
+    it.
     """
 
     def __init__(
@@ -73,6 +75,9 @@
         self._admission_s = settings.election_timeout_ms / 1000 * ADMISSION_ELECTION_TIMEOUTS
         # Instances known to the predecessor that have not reported; None if its list is unknown.
         self._unreported: set[tuple[InstanceId, int]] | None = None
+        # Slots that instances held at their first report to this leader. Instances that have not
+        # reported can hold none of these.
+        self._reported_slots: Counter[BackendId] = Counter()
 
     @property
     def instances(self) -> dict[InstanceId, InstanceInfo]:
@@ -97,10 +102,20 @@
             (InstanceId(status.instance_id), status.incarnation) for status in listed
         }
 
-    def _may_grant(self) -> bool:
+    def _knows_all_grants(self) -> bool:
         """Return whether all grants of earlier leaders are known or have ended."""
         return self._unreported == set() or self._timers.now() >= self._grants_allowed_at
 
+    def _count_divisible(self, backend: Backend) -> int:
+        """Return how many slots of a backend server may be divided between the instances.
+
+        While some grants of earlier leaders are unknown, these are only the reported slots.
+        """
+        slots = backend.document.slots
+        if self._knows_all_grants():
+            return slots
+        return min(slots, self._reported_slots[BackendId(backend.id)])
+
     async def renew_shares(self, request: peers_pb2.ShareRequest) -> peers_pb2.ShareAnswer:
         """Process an instance's holdings and announcements, and return its grants."""
         if not self._replica.may_act_as_leader:
@@ -174,21 +189,24 @@
         holdings = self._holdings[BackendId(backend.id)]
         if request.leaving or not may_hold_slots or backend.document.state != "ready":
             return min(holding.slots, share.in_use)
-        target = self._compute_target(InstanceId(request.instance_id), backend, holdings)
+        slots = self._count_divisible(backend)
+        target = self._compute_target(InstanceId(request.instance_id), backend, holdings, slots)
         if target <= holding.slots:
             return max(target, share.in_use)
-        free = backend.document.slots - sum(h.slots for h in holdings.values())
-        if not self._may_grant():
-            free = 0
+        free = slots - sum(h.slots for h in holdings.values())
         holding.slots += max(0, min(target - holding.slots, free))
         return holding.slots
 
     def _update_holding(self, request: peers_pb2.ShareRequest, share: peers_pb2.Share) -> Holding:
         """Update an instance's holding from the share that it reports."""
         now = self._timers.now()
-        holdings = self._holdings.setdefault(BackendId(share.backend), {})
+        backend_id = BackendId(share.backend)
+        instance_id = InstanceId(request.instance_id)
+        holdings = self._holdings.setdefault(backend_id, {})
         self._drop_expired(holdings, now)
-        holding = holdings.setdefault(InstanceId(request.instance_id), Holding())
+        if instance_id not in holdings:
+            self._reported_slots[backend_id] += share.slots
+        holding = holdings.setdefault(instance_id, Holding())
         holding.slots = share.slots
         holding.wanted = share.wanted
         holding.spare = share.spare
@@ -201,13 +219,16 @@
                 del holdings[instance_id]
 
     def _compute_target(
-        self, instance_id: InstanceId, backend: Backend, holdings: dict[InstanceId, Holding]
+        self,
+        instance_id: InstanceId,
+        backend: Backend,
+        holdings: dict[InstanceId, Holding],
+        slots: int,
     ) -> int:
-        """Return an instance's fair share of a backend server's slots.
+        """Return an instance's fair share of the divisible slots of a backend server.
 
         The slots are divided by demand, and those that remain by the spare slots asked for.
         """
-        slots = backend.document.slots
         demands = {name: self._get_demand(name, h) for name, h in holdings.items()}
         needed = divide_fairly(slots, demands, salt=backend.id)
         remaining = slots - sum(needed.values())
