--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -149,6 +149,10 @@
         label = self.message.required_label
         return not label or label in labels
 
+    def count_waiting_tasks(self) -> int:
+        """Return how many tasks wait for placement."""
+        return len(self.waiting) * (self.message.count if self.message.gang else 1)
+
     def count_tasks_on(self, worker_id: str) -> int:
         """Return how many tasks of the step are placed on a worker."""
         return sum(
--- a/src/dewspindle/_internal/jobs/team_work.py
+++ b/src/dewspindle/_internal/jobs/team_work.py
@@ -16,7 +16,7 @@
 from .runs import JobRun, StepRun, UnitRun
 
 # Between two looks at all workers and waiting steps, which take as long as a short planning round.
-BACKLOG_INTERVAL_S = 0.05
+BACKLOG_INTERVAL_S = 0.1
 # Between two log lines on one team: rounds are up to 100 a second, and a team may wait for long.
 CAP_LOG_INTERVAL_S = 1.0
 
@@ -32,6 +32,7 @@
         self._admission = AdmissionControl()
         self._start_rate = StartRate()
         self._backlog_at = float("-inf")
+        self._capacity = NO_RESOURCES  # Of the fleet, when the backlog was computed.
         self._inherited_gangs: list[UnitRun] = []
         # Of jobs that ended without success, whose tasks may still run on silent workers.
         self._ended_unaccounted: dict[str, Amounts] = defaultdict(Amounts)
@@ -88,7 +89,7 @@
             used=self._fleet.team_usage.used,
             unaccounted=unaccounted,
             silent_capacity=silent,
-            capacity=self._fleet.compute_capacity(),
+            capacity=self._capacity,
         )
 
     def _sum_unaccounted(self, waiting: Iterable[StepRun]) -> dict[str, Amounts]:
@@ -97,8 +98,7 @@
         for step in waiting:
             team = step.run.stored.team
             if team and step.may_run_already:
-                size = sum(unit.unit.size for unit in step.waiting.values())
-                totals[team] += step.amounts * size
+                totals[team] += step.amounts * step.count_waiting_tasks()
         for unit in self._inherited_gangs:
             missing = unit.unit.size - len(unit.placements)
             if unit.placements and missing and not unit.is_done:
@@ -116,12 +116,13 @@
         if round_.now - self._backlog_at < BACKLOG_INTERVAL_S:
             return
         self._backlog_at = round_.now
+        self._capacity = self._fleet.compute_capacity()
         work = WaitingWork()
         capped: dict[str, Amounts] = defaultdict(Amounts)
         for step in waiting:
             if not step.waiting or step.run.get_due_ms(step.occurrence) > latest_due_ms:
                 continue
-            count = sum(unit.unit.size for unit in step.waiting.values())
+            count = step.count_waiting_tasks()
             team = step.run.stored.team
             # What waits for the cap of its own team delays no other work.
             if team in self._capped_teams:
@@ -137,7 +138,7 @@
             )
         backlog = work.make_backlog(
             free=round_.sum_free(),
-            capacity=self._fleet.compute_capacity(),
+            capacity=self._capacity,
             rooms={team: self._caps.get_room(team) for team in self._store.teams},
             starts_per_s=self._start_rate.compute(now=round_.now),
         )
