Answer a resend as unknown also while its job is being committed

A job that is proposed after a table that withdraws its key, but before that table is applied, is accepted. Its resend in between got 401. Found by reading; the digests of keys are kept for the jobs in flight.

--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -81,8 +81,9 @@
         self._admission = admission
         self._counters = counters
         self._timers = timers
-        # A job that is resent while it is being committed must not be refused, as it will run.
-        self._committing: set[str] = set()
+        # Digests of the keys that submitted the jobs that are being committed. A resend of such a job
+        # must not be refused, as the job will run.
+        self._committing: dict[str, bytes] = {}
         self._metrics = metrics
 
     async def answer(self, request: peers_pb2.RelayJobsRequest) -> peers_pb2.RelayJobsAnswer:
@@ -121,12 +122,7 @@
         """
         job = self._find_job(item, queue)
         if team is None and self._store.queue_table.requires_keys and not queue.is_public:
-            is_resent = (
-                job is not None
-                and len(item.key_digest) > 0
-                and (item.key_digest == job.message.key_digest)
-            )
-            if item.call == JOB_SUBMIT and is_resent:
+            if item.call == JOB_SUBMIT and self._is_resent(item, queue, job):
                 # The job was accepted before its key was withdrawn, so 401 would be untrue.
                 return self._refuse(item, Refusal.OUTCOME_UNKNOWN, 504)
             return self._refuse(item, Refusal.KEY_UNKNOWN, 401)
@@ -136,6 +132,14 @@
             return self._refuse(item, Refusal.JOB_ID_IN_USE, 409)
         return self._refuse(item, Refusal.OTHER_TEAM, 403)
 
+    def _is_resent(self, item: JobRequest, queue: jobs_pb2.Queue, job: StoredJob | None) -> bool:
+        """Return whether a job was submitted with the same key, and accepted or soon to be."""
+        if job is not None:
+            submitted_by = job.message.key_digest
+        else:
+            submitted_by = self._committing.get(item.path[len(queue.path_prefix) :], b"")
+        return bool(submitted_by) and item.key_digest == submitted_by
+
     def _prepare_submission(
         self,
         item: JobRequest,
@@ -196,12 +200,12 @@
         new = [job for job in submits if job.id not in self._store.jobs]
         if new:
             submit = jobs_pb2.SubmitJobs(jobs=new)
-            ids = {job.id for job in new}
-            self._committing |= ids
+            self._committing.update((job.id, job.key_digest) for job in new)
             try:
                 await self._replica.propose(cell_pb2.Command(submit_jobs=submit))
             finally:
-                self._committing -= ids
+                for job in new:
+                    self._committing.pop(job.id, None)
             for job in new:
                 self._counters.count_accepted(job.team, is_beyond_share=job.is_beyond_share)
                 logger.info(
