--- a/features/admission.feature
+++ b/features/admission.feature
@@ -44,6 +44,12 @@
     Then no 0.5 seconds after the first return have more than 11 returns
     And no refusal asks for more than 4 seconds
 
+  # The requests of an outage arrive together at the next leader.
+  Scenario: A team may send three seconds of its rate to a new leader at once
+    Given a new leader without spare capacity, and teams "large" of 20 and "small" of 2 jobs a second
+    When "large" sends 60 and "small" 0 jobs a second for 1 seconds
+    Then every job of "large" is accepted
+
   Scenario: A new leader refuses nothing before it knows its capacity
     Given an unknown capacity, and teams "large" of 20 and "small" of 2 jobs a second
     When "large" sends 100 and "small" 0 jobs a second for 1 seconds
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -2,6 +2,8 @@
 
 from dewspindle._internal.models.resources import Amounts
 from dewspindle._internal.scheduling.admission import (
+    BURST_S,
+    INITIAL_BURST_S,
     Admission,
     AdmissionControl,
     Backlog,
@@ -25,6 +27,14 @@
     context.now = 0.0
     context.decisions = []
     context.target_s = 4.0
+    if capacity == "a new leader without spare capacity":
+        set_backlog(context, jobs=0, wait_s=5.0)
+        return
+    for team, weight in context.weights.items():
+        # What a new leader allows beyond the burst is used up.
+        for _ in range(round(weight * (INITIAL_BURST_S - BURST_S))):
+            decide(context, team)
+    context.decisions.clear()
     if capacity == "no spare capacity":
         set_backlog(context, jobs=0, wait_s=5.0)
     elif capacity != "an unknown capacity":
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -81,8 +81,8 @@
         self._admission = admission
         self._counters = counters
         self._timers = timers
-        # Digests of the keys that submitted the jobs that are being committed. Resends of such a job
-        # must not be refused, as the job will run.
+        # Digests of the keys that submitted the jobs that are being committed. Resends of such
+        # jobs must not be refused, as the jobs will run.
         self._committing: dict[str, bytes] = {}
         self._metrics = metrics
 
--- a/src/dewspindle/_internal/scheduling/admission.py
+++ b/src/dewspindle/_internal/scheduling/admission.py
@@ -16,6 +16,9 @@
 # so arrivals at exactly the rate come in groups.
 BURST_S = 1.0
 MIN_BURST_JOBS = 3.0  # For teams that are entitled to a few jobs a second at most.
+# Jobs that a team may send to a new leader at once, as seconds of its rate: callers wait for 3 s
+# for an answer, so that the requests of an outage arrive together.
+INITIAL_BURST_S = 3.0
 # Longest delay that a refusal asks for. Callers give up after a few attempts, so a longer one
 # would turn a burst that is over into a loss.
 MAX_RETRY_AFTER_S = 4.0
@@ -43,14 +46,14 @@
     """Token bucket of the jobs that a team is entitled to, and the queue of refused callers."""
 
     def __init__(self, *, now: float, weight: float) -> None:
-        self._tokens = _compute_burst(weight)
+        self._tokens = max(_compute_burst(weight), weight * INITIAL_BURST_S)
         self._refilled_at = now
         self._next_return_at = now
 
     def try_take(self, *, now: float, weight: float) -> bool:
         """Take a token for one job, and return whether there was one."""
         earned = (now - self._refilled_at) * weight
-        self._tokens = min(_compute_burst(weight), self._tokens + earned)
+        self._tokens = max(self._tokens, min(_compute_burst(weight), self._tokens + earned))
         self._refilled_at = now
         if self._tokens < 1:
             return False
@@ -96,7 +99,8 @@
 class AdmissionControl:
     """The rates of all teams and the accepted work that waits.
 
-    A new leader begins with full buckets and without a known backlog, and then refuses nothing.
+    A new leader begins with more than full buckets and without a known backlog, and then refuses
+    nothing.
     """
 
     def __init__(self) -> None:
