Soak teams: keys, caps and withdrawals

The queue table of the soak has three teams with two keys each. Callers send a key of the job's team, and wrong keys now and then. The operator withdraws keys and adds them again. Workers report a start above the cap x 1.1 plus one task, without starts that a fault delayed. A write whose outcome the entry instance does not know (504) counts neither as success nor as refusal.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -57,13 +57,15 @@
 async def run_seed(
     directory: Path, *, seed: int, seconds: float, sizes: tuple[int, int, int]
 ) -> tuple[list[str], Counter[str], dict[str, int]]:
-    """Run one seed; return the violations, fault counts and job counts by outcome."""
+    """Run one seed; return the violations, fault counts and answer counts."""
     replicas, entries, workers = sizes
     run = SoakRun(
         directory, seed=seed, seconds=seconds, replicas=replicas, entries=entries, workers=workers
     )
     violations = await run.run()
-    return violations, run.fault_counts, run.callers.outcome_counts
+    most_used = {f"most used by {team}": cpu for team, cpu in run.fleet.most_used.items()}
+    counts = run.callers.outcome_counts | run.callers.key_checks.answer_counts | most_used
+    return violations, run.fault_counts, dict(sorted(counts.items()))
 
 
 if __name__ == "__main__":
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,7 +1,8 @@
 """Simulated callers and operator that check the guarantees of the API.
 
 Each violation starts with the name of the rule that was broken:
-job lookup: an accepted job can be read.
+job lookup: an accepted job can be read with a key of its team.
+submission key: no submission is refused for a key that its team holds.
 job success: an accepted job neither fails nor is aborted unless it was cancelled.
 job completion: an accepted job completes in time unless it was cancelled.
 step completion: all steps of a completed job are done.
@@ -25,7 +26,9 @@
 from dewspindle._internal.platform.job_bodies import decode_job
 from features.lib.called_fleet import Plan
 
+from .key_checks import KeyChecks
 from .proxy import Proxy
+from .teams import TeamKey, Teams
 from .workers import ADVICE_LATENCY_S, APPROVAL_VALIDITY_MS, HttpFleet
 
 HOST = "jobs.example"
@@ -34,6 +37,7 @@
 CALL_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.3
 FINAL_STATES = ("completed", "failed", "aborted")
+WRONG_KEY_FRACTION = 0.3  # Of the checks of a job.
 
 
 def make_random_steps(rng: random.Random) -> list[dict[str, Any]]:
@@ -50,19 +54,27 @@
 class Callers:
     """Submits jobs through random entry instances and checks their reported state."""
 
-    def __init__(self, fleet: HttpFleet, proxies: list[Proxy], *, seed: int) -> None:
+    def __init__(self, fleet: HttpFleet, proxies: list[Proxy], teams: Teams, *, seed: int) -> None:
         self._fleet = fleet
         self._rng = random.Random(seed)
+        self._teams = teams
+        # Leaves the other draws as they are.
+        self._team_rng = random.Random(f"{seed}-teams")
+        self.key_checks = KeyChecks(fleet, teams, self.call, rng=self._team_rng)
         self._clients = [JsonClient(proxy.address, max_connections=64) for proxy in proxies]
         self.cancelled: set[str] = set()
         self.completed: set[str] = set()
         self.violations: list[str] = []
         self.outcome_counts = {"accepted": 0, "refused": 0, "unknown": 0}
 
-    async def call(self, method: str, job: str, *, body: Any = None) -> Any:
+    async def call(self, method: str, job: str, key: TeamKey, body: Any = None) -> Any:
         """Send one request to a random entry instance; return None without a complete answer."""
         client = self._rng.choice(self._clients)
-        headers = {"Host": HOST, "X-Dewspindle-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000))}
+        headers = {
+            "Host": HOST,
+            "X-Dewspindle-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
+            "Authorization": f"Token {key}",
+        }
         try:
             return await client.request(
                 method, PREFIX + job, body=body, headers=headers, timeout_s=CALL_TIMEOUT_S
@@ -76,6 +88,7 @@
         body = {"spec": f"text {job}", "steps": make_random_steps(self._rng)}
         plan = Plan(decode_job(json.dumps(body).encode()), run_s=self._rng.uniform(0.2, 1.5))
         self._fleet.plans[job] = plan
+        self._fleet.teams[job] = self._team_rng.choice(self._teams.names)
         if not await self._submit(job, body):
             return
         if self._rng.random() < 0.1:
@@ -84,16 +97,33 @@
         for _ in range(4):
             await anyio.sleep(self._rng.uniform(0.5, 2.0))
             await self.check_job(job)
+            if self._team_rng.random() < WRONG_KEY_FRACTION:
+                await self.key_checks.check(job, self._fleet.teams[job], body)
+
+    async def _call_as_owner(self, method: str, job: str, body: Any = None) -> Any:
+        """Send a request with a key of the job's team; return None if it was withdrawn meanwhile.
+
+        Also returns None without a complete answer.
+        """
+        key = self._teams.get_valid_key(self._fleet.teams[job], self._team_rng)
+        answer = await self.call(method, job, key, body)
+        if answer is not None and answer.status == 401 and not self._teams.is_valid(key):
+            return None
+        return answer
 
     async def _submit(self, job: str, body: Any) -> bool:
         """Submit a job, retrying while it is not accepted; return whether it was accepted."""
         may_be_accepted = False
         for _ in range(MAX_ATTEMPTS):
-            answer = await self.call("POST", job, body=body)
+            answer = await self._call_as_owner("POST", job, body)
             if answer is not None and answer.status == 200:
                 self._fleet.accepted.add(job)
                 self.outcome_counts["accepted"] += 1
                 return True
+            if answer is not None and answer.status in (401, 403, 404):
+                self.violations.append(
+                    f"submission key: {job} is refused with {answer.status} for a valid key"
+                )
             # An entry instance sends these statuses only if the request had no effect.
             if answer is None or answer.status not in (429, 503):
                 may_be_accepted = True
@@ -109,7 +139,7 @@
         await anyio.sleep(self._rng.uniform(0.0, 1.0))
         self.cancelled.add(job)
         for _ in range(MAX_ATTEMPTS):
-            answer = await self.call("DELETE", job)
+            answer = await self._call_as_owner("DELETE", job)
             if answer is not None and answer.status in (200, 410):
                 self._fleet.cancelled_at[job] = self._fleet.clock.now
                 return
@@ -117,7 +147,7 @@
 
     async def check_job(self, job: str) -> None:
         """Read the state of an accepted job and check it against the runs on the workers."""
-        answer = await self.call("GET", job)
+        answer = await self._call_as_owner("GET", job)
         if answer is None or answer.status in (429, 502, 503, 504):
             return
         if answer.status != 200:
@@ -162,8 +192,9 @@
 class Operator:
     """Writes queue tables and checks that they can be read back."""
 
-    def __init__(self, addresses: list[str], *, seed: int) -> None:
+    def __init__(self, addresses: list[str], teams: Teams, *, seed: int) -> None:
         self._addresses = addresses
+        self._teams = teams
         self._rng = random.Random(seed)
         self._sent_tables: dict[int, Any] = {}
         self._version = 0
@@ -203,10 +234,21 @@
             "routes": [queue, extra_queue],
             "services": [{"name": "pool", "health_path": "/healthz", "max_connections": 64}],
             "limits": {"max_body_bytes": 262144},
+            "tenants": self._teams.encode(),
         }
 
-    async def put(self) -> None:
-        """Write a newer queue table, retrying until it is acknowledged."""
+    async def withdraw_key(self, key: TeamKey, *, seconds: float) -> None:
+        """Withdraw a key and add it again some time after the acknowledgement."""
+        self._teams.withdraw(key)
+        if await self.put():
+            self._teams.record_withdrawal(key)
+        await anyio.sleep(seconds)
+        self._teams.add(key)
+        if await self.put():
+            self._teams.record_addition(key)
+
+    async def put(self) -> bool:
+        """Write a newer queue table, retrying; return whether it was acknowledged."""
         self._version += self._rng.randint(1, 3)
         version, queue_table = self._version, self._make_queue_table()
         self._sent_tables[version] = queue_table
@@ -214,13 +256,14 @@
             answer = await self._call("POST", "/Config.Replace", queue_table)
             if answer is not None and answer.status == 200:
                 self.acknowledged_version = max(self.acknowledged_version, version)
-                return
+                return True
             if answer is not None and answer.status < 500:
                 self.violations.append(
                     f"queue table write: version {version} was rejected with {answer.status}"
                 )
-                return
+                return False
             await anyio.sleep(RETRY_INTERVAL_S)
+        return False
 
     async def check(self, *, seconds: float = 0.0) -> None:
         """Read the queue table back and check it.
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -18,6 +18,7 @@
 from .faults import FAULTS
 from .programs import CLIENT_PORT, CONTROL_PORT, Program
 from .proxy import Proxy
+from .teams import CAPS, WITHDRAWAL_LIMIT_S, Teams
 from .workers import HttpAdvisor, HttpFleet, RealClock
 
 # Until the first queue table is written; allows for a busy machine.
@@ -26,6 +27,8 @@
 RESIZE_INTERVAL_S = (0.5, 2.0)
 FAULT_INTERVAL_S = (0.3, 2.5)  # Between the starts of two faults, which may overlap.
 JOB_INTERVAL_S = (0.02, 0.25)
+WITHDRAWAL_INTERVAL_S = (0.2, 1.5)  # From the addition of a key to the next withdrawal.
+REFUSAL_S = (1.0, 3.0)  # How long a withdrawn key must be refused before it is added again.
 
 
 class SoakRun:
@@ -43,7 +46,9 @@
     ) -> None:
         self._seconds = seconds
         self._rng = random.Random(seed)
-        self._resize_rng = random.Random(f"{seed}-resize")  # Leaves the other draws as they are.
+        # Leave the other draws as they are.
+        self._resize_rng = random.Random(f"{seed}-resize")
+        self._key_rng = random.Random(f"{seed}-keys")
         self._group: TaskGroup | None = None
         self._replica_lock = anyio.Lock()
         self.clock = RealClock()
@@ -69,8 +74,10 @@
             Proxy(lambda ip=program.ip: f"{ip}:{CLIENT_PORT}")  # type: ignore[misc]
             for program in self.entries
         ]
-        self.callers = Callers(self.fleet, self.caller_proxies, seed=seed)
-        self.operator = Operator(self.control_addresses, seed=seed)
+        self.teams = Teams(self.clock)
+        self.fleet.caps = {team: cap for team, cap in CAPS.items() if cap}
+        self.callers = Callers(self.fleet, self.caller_proxies, self.teams, seed=seed)
+        self.operator = Operator(self.control_addresses, self.teams, seed=seed)
 
     @property
     def proxies(self) -> list[Proxy]:
@@ -140,6 +147,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._submit_jobs, ends_at)
             group.start_soon(self._resize_workers, ends_at)
+            group.start_soon(self._withdraw_keys, ends_at)
             while self.clock.now < ends_at:
                 name = self._rng.choice(sorted(FAULTS))
                 rng = random.Random(self._rng.getrandbits(32))
@@ -159,6 +167,14 @@
         for worker in self.fleet.workers:
             worker.resize(CAPACITY)
 
+    async def _withdraw_keys(self, ends_at: float) -> None:
+        """Withdraw one key after another, each for longer than requests may still succeed."""
+        while self.clock.now < ends_at:
+            await anyio.sleep(self._key_rng.uniform(*WITHDRAWAL_INTERVAL_S))
+            seconds = WITHDRAWAL_LIMIT_S + self._key_rng.uniform(*REFUSAL_S)
+            self.fault_counts["key-withdrawal"] += 1
+            await self.operator.withdraw_key(self.teams.choose_key(self._key_rng), seconds=seconds)
+
     async def _submit_jobs(self, ends_at: float) -> None:
         while self.clock.now < ends_at:
             self.start_soon(self.callers.run_job)
@@ -172,4 +188,10 @@
         programs = [*self.replicas, *self.entries]
         exit_errors = [s for p in programs for s in (*p.exit_errors, *p.list_late_imports())]
         broken_rules = list(dict.fromkeys(self.fleet.broken.rules))
-        return [*broken_rules, *self.callers.violations, *self.operator.violations, *exit_errors]
+        return [
+            *broken_rules,
+            *self.callers.violations,
+            *self.callers.key_checks.violations,
+            *self.operator.violations,
+            *exit_errors,
+        ]
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -1,6 +1,7 @@
 """Simulated workers and advisor served over HTTP.
 
-The fleet checks the rules of `features.lib.called_fleet`, and one more:
+The fleet checks the rules of `features.lib.called_fleet`, the cap with the platform's tolerance,
+and one more:
 approval: every start carries the advisor's ticket for its step and worker.
 """
 
@@ -22,6 +23,7 @@
     StartOrder,
     StopOrder,
 )
+from dewspindle._internal.models.jobs import TaskRef
 from dewspindle._internal.network.json_client import JsonClient
 from dewspindle._internal.platform.asgi import (
     Receive,
@@ -115,13 +117,13 @@
         if self._fleet.rng.random() < self.late_call_fraction:
             await anyio.sleep(LATE_DELIVERY_S)
             if self.worker is worker:
-                await self._execute_order(worker, scope["path"], fields)
+                await self._execute_order(worker, scope["path"], fields, is_late=True)
             await anyio.sleep(60)  # Longer than the leader waits for an answer.
         status, body = await self._execute_order(worker, scope["path"], fields)
         await send_json(send, status, {"clock_ms": worker.clock_ms, **body})
 
     async def _execute_order(
-        self, worker: CalledWorker, path: str, fields: dict[str, Any]
+        self, worker: CalledWorker, path: str, fields: dict[str, Any], *, is_late: bool = False
     ) -> tuple[int, dict[str, Any]]:
         token = fields["fencing_token"]
         if path == "/hold":
@@ -151,6 +153,8 @@
                     f"approval: {task} starts on {worker.id} without approval"
                 )
                 return 409, {"reason": "ticket"}
+            if is_late and task not in worker.runs:
+                self._fleet.late_starts.add((worker.id, task, fields["attempt"]))
             answer = worker.start(
                 StartOrder(task, fields["attempt"], fields["spec"], fields["deadline_ms"], token)
             )
@@ -167,6 +171,8 @@
     def __init__(self, cell: Any, *, size: int, seed: int) -> None:
         super().__init__(cell, size=size)
         self.rng = random.Random(seed)
+        # Worker, task and attempt of the starts that a worker executed late.
+        self.late_starts: set[tuple[str, TaskRef, int]] = set()
         self.hosts = [WorkerHost(self, number) for number in range(size)]
 
     @contextmanager
@@ -196,6 +202,19 @@
         successor.deadline_ms = successor.clock_ms
         return successor
 
+    def counts_for_cap(self, worker: CalledWorker, task: TaskRef) -> bool:
+        """Return whether a task that a worker runs counts towards its team's cap.
+
+        Tasks that started late because of a fault do not count, nor those whose lease has expired,
+        which end with the next tick.
+        """
+        is_late = (worker.id, task, worker.runs[task].attempt) in self.late_starts
+        return not is_late and worker.clock_ms < worker.deadline_ms
+
+    def get_usage_limit(self, team: str, started: TaskRef) -> float:
+        """Return the platform's hard limit, the cap x 1.1 plus one task."""
+        return self.caps[team] * 1.1 + self._get_amounts(started).processors
+
     async def send_heartbeat(self, worker: CalledWorker) -> None:
         """Send the heartbeat of a worker, unless it is cut off, to a replica that accepts it."""
         worker.heartbeat_sequence += 1
