Drop the caps of the last round when all teams are removed

Tasks of jobs whose teams were removed with the last table that named any waited for caps that no round renewed, and never started. Found by reading; the scenario failed before.

--- a/features/steps/team_steps.py
+++ b/features/steps/team_steps.py
@@ -46,6 +46,15 @@
     context.cell.fleet.caps[team] = processors
 
 
+@when("all teams are removed as they run")
+def when_removed(context):
+    def remove_teams(table):
+        del table.teams[:]
+
+    context.cell.fleet.caps.clear()  # The table may take effect before its acknowledgement.
+    put_table(context, remove_teams)
+
+
 @given("the queue is public")
 def given_public(context):
     def set_public(table):
--- a/features/teams.feature
+++ b/features/teams.feature
@@ -100,6 +100,14 @@
     And the key "r1" submits a job of 6 tasks and 12 seconds pass
     Then every accepted job succeeded
 
+  # The caps of the last round must not go on when there are none any more.
+  Scenario: Jobs of teams that were all removed run on without a cap
+    Given the cap of "red" is 4000 millicores
+    When the key "r1" submits a job of 40 tasks and 0.5 seconds pass
+    And all teams are removed as they run
+    And the cell runs for 6 seconds
+    Then every accepted job succeeded
+
   # Nothing that runs is stopped, so what runs counts until it has ended.
   Scenario: No task starts after a cap was lowered below what runs
     Given the cap of "red" is 20000 millicores
--- a/src/dewspindle/_internal/jobs/team_work.py
+++ b/src/dewspindle/_internal/jobs/team_work.py
@@ -8,7 +8,7 @@
 from ..scheduling.admission import AdmissionControl
 from ..scheduling.backlog import StartRate, WaitingWork
 from ..scheduling.job_order import NO_TEAM, TeamStanding
-from ..scheduling.team_caps import TeamCaps, describe_cap
+from ..scheduling.team_caps import NO_CAPS, TeamCaps, describe_cap
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from .fleet import Fleet
@@ -36,9 +36,7 @@
         self._inherited_gangs: list[UnitRun] = []
         # Of jobs that ended without success, whose tasks may still run on silent workers.
         self._ended_unaccounted: dict[str, Amounts] = defaultdict(Amounts)
-        self._caps = TeamCaps(
-            {}, used={}, unaccounted={}, silent_capacity=NO_RESOURCES, capacity=NO_RESOURCES
-        )
+        self._caps = NO_CAPS
         self._capped_teams: frozenset[str] = frozenset()
         self._cap_logged_at: dict[str, float] = {}
 
@@ -76,6 +74,7 @@
     def begin_round(self, waiting: Iterable[StepRun], *, workers_reconciled: bool) -> None:
         """Compute what each team may start in a planning round."""
         if not self._store.teams:
+            self._caps = NO_CAPS
             return
         silent = NO_RESOURCES
         unaccounted: dict[str, Amounts] = {}
--- a/src/dewspindle/_internal/scheduling/team_caps.py
+++ b/src/dewspindle/_internal/scheduling/team_caps.py
@@ -95,7 +95,7 @@
 
     def allocate(self, team: str, amounts: Amounts) -> None:
         """Count a start that this round has planned."""
-        if team:
+        if team in self._teams:
             self._planned[team] = self.get_planned(team) + amounts
 
     def is_over_share(self, team: str) -> bool:
@@ -112,3 +112,7 @@
             )
             self._is_over_share[team] = is_over
         return is_over
+
+
+# Allows everything. Shared, as nothing is counted for work of unknown teams.
+NO_CAPS = TeamCaps({}, used={}, unaccounted={}, silent_capacity=NO_RESOURCES, capacity=NO_RESOURCES)
