--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -24,6 +24,14 @@
     And the advisor refuses the workers that were set aside for it
     Then none of these workers is set aside for it
 
+  Scenario: The load report tells what a waiting gang lacks
+    Given a planner of jobs over 40 workers of 32 cores, of which 40 are full for 10 seconds
+    And an advisor whose requests may list 100 workers, of which it approves one in one
+    When a gang of 12 tasks of 10 cores waits
+    Then it is reported to lack no-approved-worker
+    When its requests for advice are answered
+    Then it is reported to lack no-capacity
+
   Scenario: The workers on which a gang fits first are set aside, and as few as hold it
     Given workers that have room for tasks of the gang as follows
       | worker | now | after 1 s | after 3 s |
--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -133,6 +133,11 @@
     assert not context.requests, context.requests
 
 
+@then("it is reported to lack {reason}")
+def then_reported(context, reason):
+    assert context.model.planner.measure_load()["wait_reasons"] == {reason: 1}
+
+
 @given("workers that have room for tasks of the gang as follows")
 def given_outlooks(context):
     context.outlooks = []
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -1,7 +1,10 @@
 """Client that asks the advisor, through several instances, which workers may run a step."""
 
+from collections import defaultdict
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
 
 from anyio.abc import TaskGroup
 
@@ -99,6 +102,15 @@
         self.expires_at.pop(worker_id, None)
 
 
+class AdvicePurpose(Enum):
+    """What a request for advice is made for."""
+
+    TASKS = "tasks"  # Single tasks, on new or approved workers.
+    GANG = "gang"  # Further workers for a gang.
+    RENEWAL = "renewal"  # Tickets of workers that a gang waits for.
+    INHERITED = "inherited"  # Whether an inherited step may run on silent workers.
+
+
 @dataclass(slots=True, eq=False)
 class AdviceRequest:
     """A request for advice that waits for a free helper."""
@@ -108,6 +120,8 @@
     workers: list[str]
     expected_s: float
     rank: tuple[float, ...]
+    purpose: AdvicePurpose = AdvicePurpose.TASKS
+    asked_at: float = 0.0
 
     @property
     def is_long(self) -> bool:
@@ -167,6 +181,7 @@
         self._penalized_until: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
+        self._helper_seconds: defaultdict[AdvicePurpose, float] = defaultdict(float)
 
     @property
     def odds(self) -> ApprovalOdds:
@@ -192,10 +207,12 @@
     def ask(self, request: AdviceRequest) -> None:
         """Queue a request unless it lists a pending worker or a call failed recently."""
         advice = self.get(request.key)
-        if not request.workers or not advice.may_ask(self._timers.now()):
+        now = self._timers.now()
+        if not request.workers or not advice.may_ask(now):
             return
         if not advice.pending.isdisjoint(request.workers):
             return
+        request.asked_at = now
         advice.pending.update(request.workers)
         self._waiting.append(request)
 
@@ -225,6 +242,22 @@
             self._used_at[helper.address] = now
             self._group.start_soon(self._call_helper, helper.address, request)
 
+    def take_load(self) -> dict[str, Any]:
+        """Return figures on helpers and requests for the log, those on calls since the last time.
+
+        `helper_seconds` is the time that calls took, by the purpose of the request.
+        """
+        now = self._timers.now()
+        waits = [now - request.asked_at for request in self._waiting]
+        seconds, self._helper_seconds = self._helper_seconds, defaultdict(float)
+        return {
+            "helpers": len(list(self._list_helpers())),
+            "busy_helpers": len(self._calls_in_flight),
+            "waiting_requests": len(waits),
+            "longest_request_wait_s": round(max(waits, default=0.0), 3),
+            "helper_seconds": {p.value: round(taken, 2) for p, taken in seconds.items()},
+        }
+
     async def _call_helper(self, helper: str, request: AdviceRequest) -> None:
         job, occurrence, step = request.key
         started_at = self._timers.now()
@@ -244,8 +277,9 @@
             self._penalized_until[helper] = self._timers.now() + FAILED_HELPER_PENALTY_S
             self._finish(helper, request, None)
             return
-        now = self._timers.now()
-        self._metrics.record("dewspindle_advice_seconds", now - started_at)
+        took_s = self._timers.now() - started_at
+        self._metrics.record("dewspindle_advice_seconds", took_s, purpose=request.purpose.value)
+        self._helper_seconds[request.purpose] += took_s
         self._finish(helper, request, answer)
 
     def _choose_timeout(self, request: AdviceRequest) -> float:
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -11,7 +11,7 @@
 )
 from ..scheduling.job_placement import count_fitting
 from ..schema import jobs_pb2
-from .advice import AdviceClient, AdviceRequest, StepAdvice, estimate_call_s
+from .advice import AdviceClient, AdvicePurpose, AdviceRequest, StepAdvice, estimate_call_s
 from .fleet import FleetWorker
 from .planning_round import PlanningRound
 from .runs import StepRun
@@ -54,7 +54,7 @@
             decision_ms=queue.advisor.decision_ms,
             per_worker_ms=queue.advisor.per_worker_ms,
         )
-        self._send(step, queue, round_, workers, rank=rank)
+        self._send(step, queue, round_, workers, AdvicePurpose.TASKS, rank=rank)
 
     def ask_for_gang(
         self,
@@ -91,7 +91,7 @@
             decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
         )
         for workers in split_request([w.id for w in undecided[:count]], affordable=affordable):
-            self._send(step, queue, round_, workers, rank=rank)
+            self._send(step, queue, round_, workers, AdvicePurpose.GANG, rank=rank)
 
     def renew_for_gang(
         self,
@@ -116,7 +116,7 @@
             if worker not in advice.pending
             and advice.needs_renewal(worker, round_.now, within_s=call_s + RENEWAL_MARGIN_S)
         ]
-        self._send(step, queue, round_, expiring, rank=rank)
+        self._send(step, queue, round_, expiring, AdvicePurpose.RENEWAL, rank=rank)
 
     def ask_about_silent(
         self,
@@ -141,7 +141,7 @@
         ]
         if len(undecided) < len(workers) or not round_.have_missed_renewal(workers):
             return
-        self._send(step, queue, round_, undecided, rank=rank)
+        self._send(step, queue, round_, undecided, AdvicePurpose.INHERITED, rank=rank)
 
     @staticmethod
     def _may_ask(queue: jobs_pb2.Queue, advice: StepAdvice, round_: PlanningRound) -> bool:
@@ -157,6 +157,7 @@
         queue: jobs_pb2.Queue,
         round_: PlanningRound,
         workers: list[str],
+        purpose: AdvicePurpose,
         *,
         rank: Rank,
     ) -> None:
@@ -170,6 +171,7 @@
                 workers=workers,
                 expected_s=estimate_call_s(queue.advisor, len(workers)),
                 rank=rank,
+                purpose=purpose,
             )
         )
 
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -298,7 +298,11 @@
     def _measure_load(self) -> dict[str, Any]:
         limit = self._pacer.limit
         starts_limit = None if limit is None else round(limit)
-        return {**self._planner.measure_load(), "starts_per_s_limit": starts_limit}
+        return {
+            **self._planner.measure_load(),
+            **self._advice.take_load(),
+            "starts_per_s_limit": starts_limit,
+        }
 
     async def _plan_rounds(self) -> None:
         while True:
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -17,6 +17,7 @@
 from .advice import AdviceClient, StepKey
 from .advice_planner import AdvicePlanner
 from .fleet import Fleet, FleetWorker
+from .planner_load import PlannerLoad, StepWorkers
 from .planning_round import PlannedStart, PlanningRound
 from .relocation import StartRelocator
 from .runs import JobRun, StepRun, UnitRun
@@ -76,6 +77,8 @@
         self._advice_planner = AdvicePlanner(advice)
         self._set_aside_before: frozenset[str] = frozenset()  # For gangs, in the last round.
         self._teams = TeamWork(fleet=fleet, store=store)
+        self._last_round = PlanningRound(fleet, now=timers.now(), team_caps=self._teams.caps)
+        self._load = PlannerLoad(fleet=fleet, advice=advice, timers=timers)
         self._slowdowns = slowdowns or Slowdowns(timers=timers, is_enabled=False)
         self._relocator = StartRelocator(
             self._slowdowns,
@@ -130,21 +133,18 @@
 
     def measure_load(self) -> dict[str, Any]:
         """Return figures on waiting work and free capacity, as fractions, for the log."""
-        now = self._timers.now()
-        found = [(worker, worker.find_unusable_reason(now)) for worker in self._fleet]
-        usable = [worker for worker, reason in found if not reason]
-        steps = [step for step in self._waiting.values() if step.waiting and step.is_ready]
-        capacity = sum(worker.capacity.processors for worker in usable)
-        memory = sum(worker.capacity.memory_mb for worker in usable)
-        return {
-            "usable_workers": len(usable),
-            "unusable_workers": dict(Counter(reason for _, reason in found if reason)),
-            "free_processors": round(sum(w.free.processors for w in usable) / max(1, capacity), 3),
-            "free_memory": round(sum(w.free.memory_mb for w in usable) / max(1, memory), 3),
-            "waiting_steps": len(steps),
-            "waiting_gangs": sum(step.message.gang for step in steps),
-            "reserved_workers": len(self._set_aside_before),
-        }
+        ready = self._list_ready(latest_due_ms=self._timers.wall_ms(), now=self._timers.now())
+        figures = self._load.measure(ready, list_workers=self._list_step_workers)
+        return {**figures, "reserved_workers": len(self._set_aside_before)}
+
+    def _list_step_workers(self, step: StepRun) -> StepWorkers:
+        """Return the workers for a step as the last round left them."""
+        round_ = self._last_round
+        queue = self._store.get_current_queue(step.run.stored)
+        approved = self._list_approved(step, queue, round_)
+        available = [worker for worker in approved if round_.may_use(worker.id, step)]
+        admitted = self._select_admitted(step, queue, available, now=self._timers.now())
+        return StepWorkers(approved, available, admitted)
 
     @property
     def has_waiting(self) -> bool:
@@ -173,6 +173,7 @@
             else:
                 self._place_tasks(step, queue, round_)
         self._relocator.relocate(round_)
+        self._last_round = round_
         self._set_aside_before = frozenset().union(
             *(chosen.workers for _, chosen in round_.waiting_gangs)
         )
@@ -247,19 +248,20 @@
         step: StepRun,
         queue: jobs_pb2.Queue,
         workers: list[FleetWorker],
-        round_: PlanningRound,
+        *,
+        now: float,
     ) -> list[FleetWorker]:
         """Return the workers on which a step may start now."""
         if not queue.HasField("advisor"):
             return workers
         advice = self._advice.get(step.key)
-        return [worker for worker in workers if advice.has_ticket(worker.id, round_.now)]
+        return [worker for worker in workers if advice.has_ticket(worker.id, now)]
 
     def _list_candidates(self, step: StepRun, round_: PlanningRound) -> list[FleetWorker]:
         """Return the workers on which a task of a step may start now."""
         queue = self._store.get_current_queue(step.run.stored)
         approved = self._list_approved(step, queue, round_)
-        admitted = self._select_admitted(step, queue, approved, round_)
+        admitted = self._select_admitted(step, queue, approved, now=round_.now)
         return [worker for worker in admitted if round_.may_use(worker.id, step)]
 
     def _get_penalty(self, worker: FleetWorker) -> float:
@@ -274,7 +276,7 @@
             if not round_.check_cap(step.run.stored.team, step.amounts * unit.unit.size):
                 continue
             available = [w for w in approved if round_.may_use(w.id, step)]
-            admitted = self._select_admitted(step, queue, available, round_)
+            admitted = self._select_admitted(step, queue, available, now=round_.now)
             chosen = None
             if unit.is_suspect:
                 apart = [worker for worker in admitted if not has_suspect(worker, round_)]
@@ -339,7 +341,7 @@
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         rank = self._rank(step, round_.now)
         candidates = self._select_admitted(
-            step, queue, self._list_approved(step, queue, round_), round_
+            step, queue, self._list_approved(step, queue, round_), now=round_.now
         )
         if not candidates:
             self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
