Add failing tests: a gang whose tickets ended waits for all gangs before it

Cause: tickets of a gang are renewed only by `_set_aside_for_gang`. It returns before that if 8 gangs have workers set aside already, or if the workers of the gang together with those set aside pass half of the usable workers of its pool. `set_aside_count` counts the workers of all pools, so that gangs of one pool keep those of another from being renewed. `ask_for_gang` lists undecided workers only, so a gang whose workers are all decided and whose tickets ended never gets one until the gangs before it start.

The tests play the product's planner and advice client over modelled workers. In each, the gang has no valid ticket and no request pending 3 s after its workers became free.

--- /dev/null
+++ b/features/lib/waiting_steps.py
@@ -0,0 +1,395 @@
+"""Model of a leader that plans steps on modelled workers, and a check of how long steps wait.
+
+The planner and the client of the advisor are the product's; workers, helpers and the advisor are
+modelled on a manual clock.
+"""
+
+import asyncio
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from dewspindle._internal.cell.jobs import JobStore
+from dewspindle._internal.jobs.advice import AdviceClient, StepKey
+from dewspindle._internal.jobs.fleet import Fleet, FleetWorker
+from dewspindle._internal.jobs.helper_registry import HelperRegistry
+from dewspindle._internal.jobs.placements import Placement, PlacementPhase
+from dewspindle._internal.jobs.planning import JobPlanner
+from dewspindle._internal.jobs.planning_round import PlannedStart
+from dewspindle._internal.jobs.runs import JobRun, StepRun, UnitRun
+from dewspindle._internal.jobs.task_events import FAILED_RETRY_DELAY_S
+from dewspindle._internal.models.ids import JobId
+from dewspindle._internal.models.jobs import TaskRef
+from dewspindle._internal.models.resources import Amounts
+from dewspindle._internal.replication.transport import PeerUnreachableError
+from dewspindle._internal.scheduling.job_placement import count_fitting
+from dewspindle._internal.schema import jobs_pb2, peers_pb2, resources_pb2
+from dewspindle._internal.utils.metrics import Metrics
+
+from .clock import ManualClock, ManualTimerService
+
+ROUND_S = 0.05  # Between two planning rounds.
+VALIDITY_MS = 1500
+MAX_WAIT_S = 3.0  # For a step for which twice its room is free.
+ROOM_FACTOR = 2
+CAPACITY = Amounts(processors=32_000, memory_mb=131_072)
+PRIORITIES = 3
+# Decision time of the advisor of a queue, and the time that each listed worker adds.
+ADVISORS = {"slow": (576, 5.2), "usual": (115, 1.0), "fast": (16, 0.15)}
+LEADER = "10.0.0.1:7000"
+
+
+@dataclass(frozen=True)
+class LongWait:
+    """A step that has waited too long although there is room for it."""
+
+    step: StepKey
+    is_gang: bool
+    waiting: int  # Tasks.
+    room: int  # For how many of its tasks approved workers have room.
+    since: float
+    valid_tickets: int
+    pending: int  # Workers listed in unanswered requests.
+    approved: int  # Usable workers that the leader knows to be approved.
+    waiting_gangs: int
+    reserved_workers: int
+
+
+@dataclass
+class Behavior:
+    """How the tasks of a job run."""
+
+    run_s: float
+    failing_index: int | None = None  # The first attempt of the task at this position fails.
+    approved: frozenset[str] | None = None  # By the advisor; drawn at random if not given.
+    attempts: dict[int, int] = field(default_factory=dict)
+
+
+class LoopGroup:
+    """Starts tasks in the running event loop."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start_soon(self, call: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
+        """Start a task."""
+        task = asyncio.ensure_future(call(*args))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class WaitingModel:
+    """A leader's planner over modelled workers, with the waiting time of each unit."""
+
+    def __init__(self, *, workers: int, helpers: int, seed: int = 1, approved: float = 0.4) -> None:
+        self.clock = ManualClock()
+        self.timers = ManualTimerService(self.clock)
+        self.began_at = self.clock.now
+        self.rng = random.Random(seed)
+        self.seed = seed
+        self.approved_fraction = approved
+        self.store = JobStore()
+        self.fleet = Fleet()
+        self.behaviors: dict[JobId, Behavior] = {}
+        self.entry_instances = [f"10.1.0.{number}:7000" for number in range(helpers)]
+        self.lost_helpers: set[str] = set()
+        self.replicas = [f"10.0.0.{number + 2}:7000" for number in range(4)]
+        self.registry = HelperRegistry(
+            own_address=LEADER, list_replicas=lambda: self.replicas, timers=self.timers
+        )
+        self.client = AdviceClient(
+            list_helpers=self.registry.list_helpers,
+            call=self._advise,
+            timers=self.timers,
+            metrics=Metrics(instance="i", zone="z"),
+            on_answer=lambda: None,
+        )
+        self.planner = JobPlanner(
+            fleet=self.fleet, advice=self.client, store=self.store, timers=self.timers
+        )
+        self.queues = {
+            (name, priority, pool): self._make_queue(name, priority, pool)
+            for name in (*ADVISORS, "none")
+            for priority in range(PRIORITIES)
+            for pool in ("pool", "other")
+        }
+        self.store.queue_table = jobs_pb2.QueueTable(version=1, queues=self.queues.values())
+        self.runs: list[JobRun] = []
+        self.long_waits: dict[StepKey, LongWait] = {}
+        self.longest_wait_s = 0.0
+        self._roomy_since: dict[tuple[JobId, int], float] = {}
+        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._numbers = itertools.count()
+        self._worker_numbers = itertools.count()
+        self._is_started = False
+        for _ in range(workers):
+            self.add_worker()
+
+    @property
+    def now(self) -> float:
+        """Return the seconds since the model began."""
+        return self.clock.now - self.began_at
+
+    @staticmethod
+    def _make_queue(name: str, priority: int, pool: str) -> jobs_pb2.Queue:
+        queue = jobs_pb2.Queue(
+            name=f"{name}{priority}{pool}",
+            host="model",
+            path_prefix=f"/{name}{priority}{pool}/",
+            pool=pool,
+            priority=priority,
+            max_attempts=5,
+            slack_factor=4.0,
+            aim_ms=500,
+        )
+        if name in ADVISORS:
+            decision_ms, per_worker_ms = ADVISORS[name]
+            queue.advisor.CopyFrom(
+                jobs_pb2.Advisor(decision_ms=decision_ms, per_worker_ms=per_worker_ms)
+            )
+        return queue
+
+    # Workers and helpers.
+
+    def add_worker(self, *, pool: str = "pool") -> FleetWorker:
+        """Add a worker under a new id."""
+        worker_id = f"w{next(self._worker_numbers)}"
+        message = jobs_pb2.CalledWorker(id=worker_id, pool=pool, capacity=CAPACITY.to_message())
+        worker = self.fleet.add(message)
+        worker.is_reconciled = True
+        worker.last_heartbeat_at = worker.capacity_known_at = float("inf")
+        worker.lease.record_clock(0, received_at=self.clock.now)
+        return worker
+
+    def lose_worker(self, worker_id: str, *, returns_after_s: float) -> None:
+        """Lose a worker with its tasks; another comes under a new id."""
+        worker = self.fleet.get(worker_id)
+        if worker is None:
+            return
+        for placement in list(worker.placements.values()):
+            run = self._find_run(placement)
+            unit = run.find_unit(placement.key[1]) if run is not None else None
+            worker.release(placement)
+            if unit is not None:
+                self._end_unit(unit, unit.attempt, jobs_pb2.END_LAPSED)
+        self.fleet.remove(worker_id)
+        self.after(returns_after_s, self.add_worker)
+
+    def suspend_worker(self, worker_id: str, seconds: float) -> None:
+        """Suspend a worker for a time."""
+        worker = self.fleet.get(worker_id)
+        if worker is not None:
+            worker.suspended_until = self.clock.now + seconds
+
+    def occupy(self, worker_id: str, amounts: Amounts, seconds: float) -> None:
+        """Let a worker run a task of another job, whose estimate is right."""
+        worker = self.fleet.get(worker_id)
+        assert worker is not None
+        ref = TaskRef(JobId(f"other{next(self._numbers)}"), 0, 0, 0)
+        placement = Placement(
+            key=(ref.job, 0),
+            task=ref,
+            attempt=1,
+            amounts=amounts,
+            worker=worker,
+            phase=PlacementPhase.RUNNING,
+            placed_at=self.clock.now,
+            estimate_s=seconds,
+        )
+        worker.add(placement)
+        self.after(seconds, worker.release, placement)
+
+    def lose_helpers(self, count: int) -> None:
+        """Lose entry instances, which leave their calls unanswered from now on."""
+        lost = [h for h in self.entry_instances if h not in self.lost_helpers][:count]
+        self.lost_helpers.update(lost)
+
+    def _is_approved(self, key: StepKey, worker_id: str) -> bool:
+        approved = self.behaviors[key[0]].approved
+        if approved is not None:
+            return worker_id in approved
+        draw = random.Random(f"{self.seed} {key} {worker_id}").random()
+        return draw < self.approved_fraction
+
+    async def _advise(
+        self, helper: str, request: peers_pb2.AdviseRequest
+    ) -> peers_pb2.AdviseAnswer:
+        key = (JobId(request.job), request.occurrence, request.step)
+        advisor = self.store.get_current_queue(self.store.jobs[key[0]]).advisor
+        call_s = (advisor.decision_ms + advisor.per_worker_ms * len(request.workers)) / 1000
+        limit_s = request.timeout_ms / 1000
+        await self.timers.sleep(limit_s if helper in self.lost_helpers else min(call_s, limit_s))
+        if helper in self.lost_helpers or call_s > limit_s:
+            raise PeerUnreachableError(helper)
+        answer = peers_pb2.AdviseAnswer(validity_ms=VALIDITY_MS)
+        for worker_id in request.workers:
+            if self._is_approved(key, worker_id):
+                answer.approvals.add(worker=worker_id, ticket="t")
+        return answer
+
+    # Jobs.
+
+    def submit(
+        self,
+        *,
+        count: int,
+        amounts: Amounts,
+        behavior: Behavior,
+        gang: bool,
+        queue: tuple[str, int, str] = ("slow", 1, "pool"),
+        estimate_s: float | None = None,
+        waited_s: float = 0.0,
+    ) -> JobRun:
+        """Submit a job of one step."""
+        spec = jobs_pb2.JobSpec(payload="p")
+        estimate_s = behavior.run_s if estimate_s is None else estimate_s
+        spec.steps.add(
+            count=count,
+            resources=resources_pb2.Resources(
+                processors=amounts.processors, memory_mb=amounts.memory_mb
+            ),
+            estimate_ms=int(estimate_s * 1000),
+            gang=gang,
+        )
+        message = jobs_pb2.Job(id=f"{len(self.runs):016x}", queue=self.queues[queue], spec=spec)
+        stored = self.store.add(message)
+        run = JobRun(
+            stored,
+            queue=message.queue,
+            accepted_at=self.clock.now - waited_s,
+            is_inherited=False,
+        )
+        self.behaviors[stored.id] = behavior
+        self.runs.append(run)
+        self.planner.add(run)
+        return run
+
+    def _find_run(self, placement: Placement) -> JobRun | None:
+        job = placement.key[0]
+        return next((run for run in self.runs if run.stored.id == job), None)
+
+    def _start(self, start: PlannedStart) -> None:
+        unit, behavior = start.unit, self.behaviors[start.unit.step.run.stored.id]
+        attempt = unit.allocate_attempt(term=0)
+        assert attempt is not None
+        for position, worker_id in start.workers.items():
+            worker = self.fleet.get(worker_id)
+            assert worker is not None
+            unit.place(
+                position,
+                worker,
+                attempt=attempt,
+                phase=PlacementPhase.RUNNING,
+                now=self.clock.now,
+            )
+        first = unit.unit.first_position
+        fails = first == behavior.failing_index and attempt == 1
+        kind = jobs_pb2.END_FAILED if fails else jobs_pb2.END_DONE
+        self.after(behavior.run_s, self._end_unit, unit, attempt, kind)
+
+    def _end_unit(self, unit: UnitRun, attempt: int, kind: jobs_pb2.EndKind.ValueType) -> None:
+        """Apply the end of an attempt as `TaskEvents` does."""
+        if unit.attempt != attempt or not unit.placements:
+            return
+        for placement in unit.placements.values():
+            worker = placement.worker
+            if placement.phase is not PlacementPhase.ENDED:
+                worker.release(placement)
+            if kind != jobs_pb2.END_LAPSED:
+                worker.record_end(placement.key[0], kind, self.clock.now)
+            if kind != jobs_pb2.END_DONE:
+                unit.avoided.add(worker.id)
+        unit.placements.clear()
+        stored = unit.step.run.stored
+        for position in unit.unit.positions:
+            stored.apply_end(
+                jobs_pb2.TaskEnd(job=stored.id, position=position, attempt=attempt, kind=kind)
+            )
+        if unit.is_done:
+            self.planner.finish_unit(unit)
+            if stored.has_succeeded:
+                self.planner.remove(unit.step.run)
+            return
+        unit.not_before = self.clock.now + FAILED_RETRY_DELAY_S
+        self.planner.requeue(unit)
+
+    # Time.
+
+    def after(self, seconds: float, call: Callable[..., Any], *arguments: Any) -> None:
+        """Schedule a call."""
+        at = self.clock.now + seconds
+        heapq.heappush(self._events, (at, next(self._numbers), call, arguments))
+
+    async def run(self, seconds: float) -> None:
+        """Plan in rounds, as the dispatcher does."""
+        if not self._is_started:
+            self._is_started = True
+            self.client.start(LoopGroup())  # type: ignore[arg-type]
+        until = self.clock.now + seconds
+        while self.clock.now < until:
+            while self._events and self._events[0][0] <= self.clock.now:
+                _, _, call, arguments = heapq.heappop(self._events)
+                call(*arguments)
+            for address in self.entry_instances:
+                if address not in self.lost_helpers:
+                    self.registry.record_entry_instance(address)
+            for start in self.planner.plan(workers_reconciled=True, early_ms=0):
+                self._start(start)
+            self.client.dispatch()
+            self._check_waits()
+            await self.clock.advance(ROUND_S)
+
+    # The check.
+
+    def count_room(self, step: StepRun) -> int:
+        """Return how many tasks of a step fit on the usable workers that may run all of them."""
+        queue = self.store.get_current_queue(step.run.stored)
+        avoided: set[str] = set()
+        if not step.message.gang:
+            avoided = avoided.union(*(unit.avoided for unit in step.waiting.values()))
+        return sum(
+            count_fitting(step.amounts, worker.free)
+            for worker in self.fleet
+            if worker.message.pool == queue.pool
+            and worker.is_usable(self.clock.now)
+            and worker.id not in avoided
+            and (not queue.HasField("advisor") or self._is_approved(step.key, worker.id))
+        )
+
+    def _check_waits(self) -> None:
+        """Record the steps that have waited too long with room for them twice over."""
+        now, before = self.clock.now, self._roomy_since
+        self._roomy_since = {}
+        for run in self.runs:
+            for step in run.steps.values():
+                if not step.waiting or not step.is_ready:
+                    continue
+                room = self.count_room(step)
+                if room < ROOM_FACTOR * step.count_waiting_tasks():
+                    continue
+                for position in step.waiting:
+                    key = (run.stored.id, position)
+                    since = self._roomy_since[key] = before.get(key, now)
+                    self.longest_wait_s = max(self.longest_wait_s, now - since)
+                    if now - since > MAX_WAIT_S:
+                        self._record_long_wait(step, room, since)
+
+    def _record_long_wait(self, step: StepRun, room: int, since: float) -> None:
+        if step.key in self.long_waits:
+            return
+        advice, load = self.client.get(step.key), self.planner.measure_load()
+        self.long_waits[step.key] = LongWait(
+            step=step.key,
+            is_gang=step.message.gang,
+            waiting=step.count_waiting_tasks(),
+            room=room,
+            since=round(since - self.began_at, 2),
+            valid_tickets=len(advice.list_valid(self.clock.now)),
+            pending=len(advice.pending),
+            approved=sum(self.fleet.get(worker) is not None for worker in advice.tickets),
+            waiting_gangs=load["waiting_gangs"],
+            reserved_workers=load["reserved_workers"],
+        )
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -12,3 +12,18 @@
         return False
     responses = getattr(context, "responses", {})
     return any("queue-timeout" in str(response.body) for response in responses.values())
+
+
+def list_long_waits(context):
+    """Return the steps that waited too long in the model of a planner."""
+    model = getattr(context, "model", None)
+    return list(getattr(model, "long_waits", {}).values())
+
+
+@shows_fault("gang-tickets-not-renewed")
+def shows_tickets_not_renewed(context, events):
+    """Return whether only gangs waited too long, without a ticket or a request for one."""
+    waits = list_long_waits(context)
+    return bool(waits) and all(
+        wait.is_gang and not wait.valid_tickets and not wait.pending for wait in waits
+    )
--- /dev/null
+++ b/features/steps/waiting_step_steps.py
@@ -0,0 +1,72 @@
+from behave import given, then, when
+
+from dewspindle._internal.models.resources import Amounts
+from features.lib.stepping import MAX_STRIDE_S
+from features.lib.waiting_steps import CAPACITY, MAX_WAIT_S, Behavior, WaitingModel
+
+HELPERS = 20
+
+
+def list_ids(first, last):
+    return frozenset(f"w{number}" for number in range(first, last + 1))
+
+
+@given("a leader that plans steps on {count:d} workers of 32 cores")
+def given_leader(context, count):
+    context.model = WaitingModel(workers=count, helpers=HELPERS)
+
+
+@given("{count:d} workers of 32 cores in another pool")
+def given_other_pool(context, count):
+    for _ in range(count):
+        context.model.add_worker(pool="other")
+
+
+@given("workers {first:d} to {last:d} are full for {seconds:d} seconds")
+def given_full(context, first, last, seconds):
+    for worker_id in sorted(list_ids(first, last)):
+        context.model.occupy(worker_id, CAPACITY, seconds)
+
+
+def submit_gang(context, count, cores, first, last, queue):
+    context.model.submit(
+        count=count,
+        amounts=Amounts(processors=cores * 1000),
+        behavior=Behavior(run_s=4.0, approved=list_ids(first, last)),
+        gang=True,
+        queue=queue,
+    )
+
+
+@given(
+    "{gangs:d} urgent gangs of {count:d} tasks of {cores:d} cores for workers {first:d} to {last:d}"
+)
+def given_urgent_gangs(context, gangs, count, cores, first, last):
+    for _ in range(gangs):
+        submit_gang(context, count, cores, first, last, ("usual", 0, "pool"))
+
+
+@given("a gang of {count:d} tasks of {cores:d} cores for workers {first:d} to {last:d}")
+def given_gang(context, count, cores, first, last):
+    submit_gang(context, count, cores, first, last, ("usual", 1, "pool"))
+
+
+@given(
+    "a gang of the other pool of {count:d} tasks of {cores:d} cores "
+    "for workers {first:d} to {last:d}"
+)
+def given_gang_of_other_pool(context, count, cores, first, last):
+    submit_gang(context, count, cores, first, last, ("usual", 1, "other"))
+
+
+@when("{seconds:d} seconds of planning pass")
+def when_passed(context, seconds):
+    for _ in range(int(seconds / MAX_STRIDE_S)):
+        context.run(context.model.run(MAX_STRIDE_S))
+
+
+@then("no step waits longer than {seconds:d} seconds while there is room for it twice over")
+def then_none_waits(context, seconds):
+    assert seconds == MAX_WAIT_S
+    waits = list(context.model.long_waits.values())
+    assert not waits, "\n".join(["", *map(str, waits)])
--- /dev/null
+++ b/features/waiting_steps.feature
@@ -0,0 +1,32 @@
+Feature: A ready step starts within 3 seconds while there is room for it twice over
+
+  # The model plans as the leader does. The advisor's tickets are valid for 1.5 seconds.
+
+  # The tickets of the last gang end while its workers are full, and nobody asks for new ones.
+  Scenario: A gang starts once its workers are free although 8 gangs of higher rank wait for others
+    Given a leader that plans steps on 40 workers of 32 cores
+    And workers 0 to 7 are full for 30 seconds
+    And workers 8 to 39 are full for 4 seconds
+    And 8 urgent gangs of 1 tasks of 32 cores for workers 0 to 7
+    And a gang of 18 tasks of 10 cores for workers 8 to 39
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A gang starts once its workers are free although half of all workers are kept for others
+    Given a leader that plans steps on 20 workers of 32 cores
+    And workers 0 to 9 are full for 30 seconds
+    And workers 10 to 19 are full for 4 seconds
+    And 2 urgent gangs of 5 tasks of 32 cores for workers 0 to 9
+    And a gang of 4 tasks of 10 cores for workers 10 to 19
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A gang starts although workers of another pool are kept for gangs
+    Given a leader that plans steps on 20 workers of 32 cores
+    And 6 workers of 32 cores in another pool
+    And workers 0 to 9 are full for 30 seconds
+    And workers 20 to 25 are full for 4 seconds
+    And 1 urgent gangs of 5 tasks of 32 cores for workers 0 to 9
+    And a gang of the other pool of 4 tasks of 10 cores for workers 20 to 25
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
