Add a failing test: a gang waits for full workers, and the advisor is not asked about free ones

Cause: `count_workers_to_list` counts every approved worker, whether it has room or is set aside for another gang. With 8 times the workers that the gang fills approved, `ask_for_gang` asks about no other one for as long as the gang waits. A gang that was listed in a full fleet is so bound to the first workers that the advisor approved, 8 of them if it fits on one worker.

In the test the gang is approved on 20 full workers, and 20 others become free after 4 s. No request lists them in the 8 s after that.

--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -50,6 +50,9 @@
     is_gang: bool
     waiting: int  # Tasks.
     room: int  # For how many of its tasks approved workers have room.
+    undecided_room: int  # Of it, on workers on which the advisor has not decided yet.
+    ended_room: int  # Of it, on workers whose tickets have ended.
+    reserved_room: int  # Of it, on workers set aside for any gang.
     since: float
     valid_tickets: int
     pending: int  # Workers listed in unanswered requests.
@@ -184,8 +187,10 @@
         if worker is not None:
             worker.suspended_until = self.clock.now + seconds
 
-    def occupy(self, worker_id: str, amounts: Amounts, seconds: float) -> None:
-        """Let a worker run a task of another job, whose estimate is right."""
+    def occupy(
+        self, worker_id: str, amounts: Amounts, seconds: float, *, estimate_s: float | None = None
+    ) -> None:
+        """Let a worker run a task of another job, whose estimate is right if none is given."""
         worker = self.fleet.get(worker_id)
         assert worker is not None
         ref = TaskRef(JobId(f"other{next(self._numbers)}"), 0, 0, 0)
@@ -197,7 +202,7 @@
             worker=worker,
             phase=PlacementPhase.RUNNING,
             placed_at=self.clock.now,
-            estimate_s=seconds,
+            estimate_s=seconds if estimate_s is None else estimate_s,
         )
         worker.add(placement)
         self.after(seconds, worker.release, placement)
@@ -346,18 +351,21 @@
 
     def count_room(self, step: StepRun) -> int:
         """Return how many tasks of a step fit on the usable workers that may run all of them."""
+        return sum(self._list_room(step).values())
+
+    def _list_room(self, step: StepRun) -> dict[str, int]:
         queue = self.store.get_current_queue(step.run.stored)
         avoided: set[str] = set()
         if not step.message.gang:
             avoided = avoided.union(*(unit.avoided for unit in step.waiting.values()))
-        return sum(
-            count_fitting(step.amounts, worker.free)
+        return {
+            worker.id: count_fitting(step.amounts, worker.free)
             for worker in self.fleet
             if worker.message.pool == queue.pool
             and worker.is_usable(self.clock.now)
             and worker.id not in avoided
             and (not queue.HasField("advisor") or self._is_approved(step.key, worker.id))
-        )
+        }
 
     def _check_waits(self) -> None:
         """Record the steps that have waited too long with room for them twice over."""
@@ -381,13 +389,23 @@
         if step.key in self.long_waits:
             return
         advice, load = self.client.get(step.key), self.planner.measure_load()
+        by_worker, now = self._list_room(step), self.clock.now
         self.long_waits[step.key] = LongWait(
             step=step.key,
             is_gang=step.message.gang,
             waiting=step.count_waiting_tasks(),
             room=room,
+            undecided_room=sum(n for w, n in by_worker.items() if w not in advice.tickets),
+            ended_room=sum(
+                n
+                for w, n in by_worker.items()
+                if w in advice.tickets and not advice.has_ticket(w, now)
+            ),
+            reserved_room=sum(
+                n for w, n in by_worker.items() if w in self.planner._set_aside_before
+            ),
             since=round(since - self.began_at, 2),
-            valid_tickets=len(advice.list_valid(self.clock.now)),
+            valid_tickets=len(advice.list_valid(now)),
             pending=len(advice.pending),
             approved=sum(self.fleet.get(worker) is not None for worker in advice.tickets),
             waiting_gangs=load["waiting_gangs"],
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -22,8 +22,17 @@
 
 @shows_fault("gang-tickets-not-renewed")
 def shows_tickets_not_renewed(context, events):
-    """Return whether only gangs waited too long, without a ticket or a request for one."""
+    """Return whether only gangs waited too long, for tickets that ended and no request lists."""
     waits = list_long_waits(context)
     return bool(waits) and all(
-        wait.is_gang and not wait.valid_tickets and not wait.pending for wait in waits
+        wait.is_gang and wait.ended_room == wait.room and not wait.pending for wait in waits
+    )
+
+
+@shows_fault("gang-workers-not-asked-about")
+def shows_workers_not_asked_about(context, events):
+    """Return whether only gangs waited too long, with room on workers that no request lists."""
+    waits = list_long_waits(context)
+    return bool(waits) and all(
+        wait.is_gang and wait.undecided_room and not wait.pending for wait in waits
     )
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -30,3 +30,12 @@
     And a gang of the other pool of 4 tasks of 10 cores for workers 20 to 25
     When 12 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # The advisor is asked about 20 workers at first. It approves all that it is asked about.
+  Scenario: A gang starts on workers that the advisor was not asked about while the approved ones are full
+    Given a leader that plans steps on 40 workers of 32 cores
+    And workers 0 to 19 are full for 30 seconds
+    And workers 20 to 39 are full for 4 seconds
+    And a gang of 2 tasks of 10 cores for workers 0 to 39
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
