--- a/features/advice.feature
+++ b/features/advice.feature
@@ -42,6 +42,12 @@
     When 2 steps request advice at the same time
     Then only replicas other than the leader were asked
 
+  # When the traffic ends, accepted jobs still need advice for their remaining steps.
+  Scenario: An entry instance whose callers are silent stays known as a helper
+    Given an entry instance that can call the advisor
+    When its callers send nothing for 10 seconds
+    Then the leader never takes it for lost
+
   # The first time-out follows from the declared time and is too short; later ones are longer.
   Scenario: An advisor that is slower than declared eventually gets enough time to answer
     Given 4 replicas and 8 entry instances that query an advisor that takes 2.5 seconds
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -5,7 +5,9 @@
 
 from dewspindle._internal.jobs.advice import AdviceClient, AdviceRequest
 from dewspindle._internal.jobs.helper_registry import HelperRegistry
+from dewspindle._internal.jobs.relay import JobRelay
 from dewspindle._internal.models.ids import JobId
+from dewspindle._internal.network import methods
 from dewspindle._internal.replication.transport import PeerUnreachableError
 from dewspindle._internal.scheduling.job_advice import choose_advice_candidates
 from dewspindle._internal.schema import peers_pb2
@@ -110,6 +112,49 @@
     context.run(context.harness.clock.advance(seconds))
 
 
+class HeardLeader:
+    """Stands in for the client of a leader that records which entry instances it hears from."""
+
+    def __init__(self, timers):
+        self.registry = HelperRegistry(own_address=LEADER, list_replicas=list, timers=timers)
+
+    async def send(self, method, request, **_):
+        assert method is methods.RELAY_JOBS
+        self.registry.record_entry_instance(request.helper_address)
+        return peers_pb2.RelayJobsAnswer(
+            answers=[peers_pb2.JobAnswer(status=200) for _ in request.requests]
+        )
+
+
+@given("an entry instance that can call the advisor")
+def given_entry_instance(context):
+    context.clock = ManualClock()
+    timers = ManualTimerService(context.clock)
+    context.leader = HeardLeader(timers)
+    context.relay = JobRelay(context.leader, timers=timers, helper_address="10.1.0.1:7000")
+
+
+@when("its callers send nothing for {seconds:d} seconds")
+def when_callers_are_silent(context, seconds):
+    async def wait():
+        async with anyio.create_task_group() as group:
+            group.start_soon(context.relay.run)
+            await context.relay.send(peers_pb2.JobRequest(), timeout_s=1.0)
+            context.known = []
+            for _ in range(seconds):
+                await context.clock.advance(1.0)
+                helpers = context.leader.registry.list_helpers()
+                context.known.append(any(not helper.is_replica for helper in helpers))
+            group.cancel_scope.cancel()
+
+    context.run(wait())
+
+
+@then("the leader never takes it for lost")
+def then_never_lost(context):
+    assert all(context.known), context.known
+
+
 @when("{count:d} step requests advice at the same time")
 @when("{count:d} steps request advice at the same time")
 def when_asked(context, count):
--- a/src/dewspindle/_internal/jobs/relay.py
+++ b/src/dewspindle/_internal/jobs/relay.py
@@ -11,11 +11,16 @@
 from ..network.leader_client import LeaderClient
 from ..schema import peers_pb2
 from ..schema.peers_pb2 import JOB_READ
+from ..utils.logs import get_logger
 from ..utils.timers import Signal, TimerService
 
 MAX_BATCH_REQUESTS = 64  # Requests in one message.
 MAX_IN_FLIGHT = 4  # Messages of one sender at a time.
 RELAY_TIMEOUT_S = 2.8  # Longer than an election and the discovery of the next leader.
+# A helper that has nothing to relay announces itself, well within `ENTRY_TIMEOUT_S` of the leader.
+ANNOUNCE_INTERVAL_S = 1.0
+
+logger = get_logger(__name__)
 
 
 @dataclass(slots=True)
@@ -31,13 +36,20 @@
 class BatchSender:
     """Sends requests of one kind in batches, so that reads do not wait for commits."""
 
-    def __init__(self, leader: LeaderClient, *, helper_address: str) -> None:
+    def __init__(self, leader: LeaderClient, *, timers: TimerService, helper_address: str) -> None:
         self._leader = leader
+        self._timers = timers
         self._helper_address = helper_address
         self._waiting: list[PendingRequest] = []
         self._in_flight = 0
+        self._answered_at = float("-inf")
         self._wake = Signal()
 
+    @property
+    def answered_at(self) -> float:
+        """Return when the leader last answered."""
+        return self._answered_at
+
     def add(self, item: PendingRequest) -> None:
         """Queue a request."""
         self._waiting.append(item)
@@ -75,6 +87,7 @@
             for item in batch:
                 item.error = error
         else:
+            self._answered_at = self._timers.now()
             for item, single in zip(batch, answer.answers, strict=True):
                 item.answer = single
         finally:
@@ -83,6 +96,20 @@
         for item in batch:
             item.done.set()
 
+    async def announce(self) -> None:
+        """Send a message without requests, which tells the leader that this instance is alive."""
+        try:
+            await self._leader.send(
+                methods.RELAY_JOBS,
+                peers_pb2.RelayJobsRequest(helper_address=self._helper_address),
+                timeout_s=ANNOUNCE_INTERVAL_S,
+                is_idempotent=True,
+            )
+        except DewspindleError as error:
+            logger.debug("announcement not answered", why=str(error))
+        else:
+            self._answered_at = self._timers.now()
+
 
 class JobRelay:
     """Relays callers' requests to the leader, reads apart from changes."""
@@ -91,14 +118,25 @@
         self, leader: LeaderClient, *, timers: TimerService, helper_address: str = ""
     ) -> None:
         self._timers = timers
-        self._reads = BatchSender(leader, helper_address=helper_address)
-        self._changes = BatchSender(leader, helper_address=helper_address)
+        self._is_helper = bool(helper_address)
+        self._reads = BatchSender(leader, timers=timers, helper_address=helper_address)
+        self._changes = BatchSender(leader, timers=timers, helper_address=helper_address)
 
     async def run(self) -> None:
         """Send until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._reads.run, group)
             group.start_soon(self._changes.run, group)
+            if self._is_helper:
+                group.start_soon(self._announce)
+
+    async def _announce(self) -> None:
+        """Stay known to the leader as a helper while there is nothing to relay."""
+        while True:
+            await self._timers.sleep(ANNOUNCE_INTERVAL_S)
+            answered_at = max(self._reads.answered_at, self._changes.answered_at)
+            if self._timers.now() - answered_at >= ANNOUNCE_INTERVAL_S:
+                await self._reads.announce()
 
     async def send(self, request: peers_pb2.JobRequest, *, timeout_s: float) -> peers_pb2.JobAnswer:
         """Return the leader's answer.
