Renew the tickets of a waiting gang by one call at a time

Which workers drain first for a waiting gang changes with each end of a task, and a call was made for each newly chosen worker, as only workers named in an unanswered request were left out.

A renewal now lists the chosen workers and as many other approved ones as the call bears, and the next one waits for its answer.

--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -28,6 +28,19 @@
         context.model.occupy(worker_id, CAPACITY, seconds)
 
 
+@given("workers {first:d} to {last:d} run tasks of changing length one after another")
+def given_busy(context, first, last):
+    for worker_id in sorted(list_ids(first, last)):
+        occupy_again(context.model, worker_id)
+
+
+def occupy_again(model, worker_id):
+    """Let a worker run one task after another, some of which take longer than estimated."""
+    seconds = model.rng.uniform(0.5, 3.0)
+    model.occupy(worker_id, CAPACITY, seconds, estimate_s=seconds * model.rng.uniform(0.5, 1.5))
+    model.after(seconds, occupy_again, model, worker_id)
+
+
 def submit_gang(context, count, cores, first, last, queue):
     context.model.submit(
         count=count,
@@ -51,6 +64,14 @@
     submit_gang(context, count, cores, first, last, ("usual", 1, "pool"))
 
 
+@given(
+    "a gang of {count:d} tasks of {cores:d} cores for workers {first:d} to {last:d} "
+    "with a slow advisor"
+)
+def given_gang_of_slow_advisor(context, count, cores, first, last):
+    submit_gang(context, count, cores, first, last, ("slow", 1, "pool"))
+
+
 @given(
     "a gang of the other pool of {count:d} tasks of {cores:d} cores "
     "for workers {first:d} to {last:d}"
@@ -70,3 +91,9 @@
     assert seconds == MAX_WAIT_S
     waits = list(context.model.long_waits.values())
     assert not waits, "\n".join(["", *map(str, waits)])
+
+
+@then("renewals took at most {seconds:d} seconds of helpers in all")
+def then_renewals_took(context, seconds):
+    took_s = context.model.client.take_load()["helper_seconds"]
+    assert 0 < took_s.get("renewal", 0.0) <= seconds, took_s
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -39,3 +39,11 @@
     And a gang of 2 tasks of 10 cores for workers 0 to 39
     When 12 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # Which workers drain first changes with each end of a task.
+  Scenario: The tickets of a gang are renewed by one helper at a time
+    Given a leader that plans steps on 20 workers of 32 cores
+    And workers 0 to 19 run tasks of changing length one after another
+    And a gang of 12 tasks of 10 cores for workers 0 to 19 with a slow advisor
+    When 8 seconds of planning pass
+    Then renewals took at most 8 seconds of helpers in all
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -3,6 +3,7 @@
 import math
 
 from ..models.resources import Amounts
+from ..scheduling.gang_workers import GangWorkers
 from ..scheduling.job_advice import (
     choose_advice_candidates,
     compute_affordable,
@@ -98,25 +99,37 @@
         step: StepRun,
         queue: jobs_pb2.Queue,
         round_: PlanningRound,
-        workers: frozenset[str],
+        chosen: GangWorkers,
         *,
-        ready_at: float,
+        approved: list[FleetWorker],
         rank: Rank,
     ) -> None:
-        """Renew the tickets of workers set aside for a gang that would end before its start."""
+        """Renew the tickets of workers set aside for a gang that would end before its start.
+
+        Which workers are set aside changes with each end of a task, and a call takes long however
+        few it lists. So a renewal lists other approved workers too, and the next one waits for it.
+        """
         advice = self._client.get(step.key)
-        if not self._may_ask(queue, advice, round_):
+        if not self._may_ask(queue, advice, round_) or advice.is_renewal_pending:
             return
-        call_s = estimate_call_s(queue.advisor, len(workers))
-        if round_.now + call_s + RENEWAL_MARGIN_S < ready_at:
+        affordable = compute_affordable(
+            decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
+        )
+        others = [worker for worker in approved if worker.id not in chosen.workers]
+        others.sort(key=lambda w: -count_fitting(step.amounts, round_.get_free(w)))
+        listed = [*sorted(chosen.workers), *(worker.id for worker in others)]
+        requests = split_request(
+            listed[: max(affordable, len(chosen.workers))], affordable=affordable
+        )
+        call_s = estimate_call_s(queue.advisor, len(requests[0]))
+        if round_.now + call_s + RENEWAL_MARGIN_S < chosen.ready_at:
             return
-        expiring = [
-            worker
-            for worker in sorted(workers)
-            if worker not in advice.pending
-            and advice.needs_renewal(worker, round_.now, within_s=call_s + RENEWAL_MARGIN_S)
-        ]
-        self._send(step, queue, round_, expiring, AdvicePurpose.RENEWAL, rank=rank)
+        if any(
+            advice.needs_renewal(worker, round_.now, within_s=call_s + RENEWAL_MARGIN_S)
+            for worker in chosen.workers
+        ):
+            for workers in requests:
+                self._send(step, queue, round_, workers, AdvicePurpose.RENEWAL, rank=rank)
 
     def ask_about_silent(
         self,
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -322,10 +322,11 @@
         usable = len(round_.get_usable(queue.pool))
         if len(round_.waiting_gangs) >= MAX_WAITING_GANGS:
             return
+        apart = [worker for worker in approved if not round_.is_set_aside(worker.id)]
         chosen = choose_earliest_workers(
             step.amounts,
             unit.unit.size,
-            [round_.make_outlook(w) for w in approved if not round_.is_set_aside(w.id)],
+            [round_.make_outlook(worker) for worker in apart],
             now=round_.now,
             limit_per_worker=step.message.max_per_worker,
         )
@@ -334,9 +335,7 @@
         if round_.set_aside_count + len(chosen.workers) > usable * MAX_SET_ASIDE_FRACTION:
             return
         round_.set_aside(step, chosen)
-        self._advice_planner.renew_for_gang(
-            step, queue, round_, chosen.workers, ready_at=chosen.ready_at, rank=rank
-        )
+        self._advice_planner.renew_for_gang(step, queue, round_, chosen, approved=apart, rank=rank)
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         rank = self._rank(step, round_.now)
