Renew the tickets of gangs that fit, whatever other gangs wait

Tickets of a gang were renewed only along with workers set aside for it, and it got none behind eight waiting gangs, nor where the workers kept would have passed half of the usable ones of its pool, those kept in other pools included. Once its tickets had ended, such a gang had none and asked for none until the gangs before it had started.

The limits are there because workers stay partly empty while their tasks end. A gang that fits already lacks only tickets, so it is now exempt, and workers are counted by pool.

--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -20,15 +20,6 @@
     return list(getattr(model, "long_waits", {}).values())
 
 
-@shows_fault("gang-tickets-not-renewed")
-def shows_tickets_not_renewed(context, events):
-    """Return whether only gangs waited too long, for tickets that ended and no request lists."""
-    waits = list_long_waits(context)
-    return bool(waits) and all(
-        wait.is_gang and wait.ended_room == wait.room and not wait.pending for wait in waits
-    )
-
-
 @shows_fault("gang-workers-not-asked-about")
 def shows_workers_not_asked_about(context, events):
     """Return whether only gangs waited too long, with room on workers that no request lists."""
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..cell.jobs import JobStore
-from ..scheduling.gang_workers import choose_earliest_workers
+from ..scheduling.gang_workers import GangWorkers, choose_earliest_workers
 from ..scheduling.inherited_work import SilentWorker, list_possible_workers
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
@@ -23,9 +23,9 @@
 from .runs import JobRun, StepRun, UnitRun
 from .team_work import TeamWork
 
-# Waiting gangs that have workers set aside in one round, in rank order.
-MAX_WAITING_GANGS = 8
-MAX_SET_ASIDE_FRACTION = 0.5  # Of the usable workers.
+# Gangs for which workers are drained at a time, in rank order.
+MAX_DRAINING_GANGS = 8
+MAX_DRAINING_FRACTION = 0.5  # Of the usable workers of a pool.
 # Added to the score of a worker set aside, so that tasks of higher rank use others while they can.
 SET_ASIDE_PENALTY = 1.0
 
@@ -318,23 +318,32 @@
         *,
         rank: tuple[float, ...],
     ) -> None:
-        """Set aside the workers on which a gang fits first, and keep their tickets valid."""
-        usable = len(round_.get_usable(queue.pool))
-        if len(round_.waiting_gangs) >= MAX_WAITING_GANGS:
-            return
+        """Set aside the workers on which a gang fits first, and keep their tickets valid.
+
+        A gang that fits already lacks only tickets. Limits hold for the others, whose workers stay
+        partly empty until enough of their tasks have ended.
+        """
         apart = [worker for worker in approved if not round_.is_set_aside(worker.id)]
-        chosen = choose_earliest_workers(
-            step.amounts,
-            unit.unit.size,
-            [round_.make_outlook(worker) for worker in apart],
-            now=round_.now,
-            limit_per_worker=step.message.max_per_worker,
-        )
+        members = self._pack(step, unit, apart, round_)
+        if members is not None:
+            chosen: GangWorkers | None = GangWorkers(frozenset(members), round_.now)
+        elif round_.draining_gangs < MAX_DRAINING_GANGS:
+            chosen = choose_earliest_workers(
+                step.amounts,
+                unit.unit.size,
+                [round_.make_outlook(worker) for worker in apart],
+                now=round_.now,
+                limit_per_worker=step.message.max_per_worker,
+            )
+        else:
+            chosen = None
         if chosen is None:
             return
-        if round_.set_aside_count + len(chosen.workers) > usable * MAX_SET_ASIDE_FRACTION:
+        if members is None and not round_.may_drain(
+            len(chosen.workers), pool=queue.pool, fraction=MAX_DRAINING_FRACTION
+        ):
             return
-        round_.set_aside(step, chosen)
+        round_.set_aside(step, chosen, pool=queue.pool)
         self._advice_planner.renew_for_gang(step, queue, round_, chosen, approved=apart, rank=rank)
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -1,6 +1,7 @@
 """State of one planning round."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -58,11 +59,13 @@
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
+        self._draining: Counter[str] = Counter()  # Workers set aside until tasks end, by pool.
+        self._draining_gangs = 0
 
     @property
-    def set_aside_count(self) -> int:
-        """Return how many workers are set aside for gangs."""
-        return len(self._set_aside)
+    def draining_gangs(self) -> int:
+        """Return for how many gangs workers are set aside until tasks on them end."""
+        return self._draining_gangs
 
     def get_usable(self, pool: str) -> dict[str, FleetWorker]:
         """Return the usable workers of a pool by id."""
@@ -135,9 +138,16 @@
             if at < math.inf:
                 yield Release(at, placement.amounts)
 
-    def set_aside(self, step: StepRun, chosen: GangWorkers) -> None:
+    def may_drain(self, count: int, *, pool: str, fraction: float) -> bool:
+        """Return whether so many more workers of a pool may be set aside until tasks end."""
+        return self._draining[pool] + count <= len(self.get_usable(pool)) * fraction
+
+    def set_aside(self, step: StepRun, chosen: GangWorkers, *, pool: str) -> None:
         """Keep workers for a gang until it is expected to start."""
         self.waiting_gangs.append((step, chosen))
+        if chosen.ready_at > self.now:
+            self._draining_gangs += 1
+            self._draining[pool] += len(chosen.workers)
         for worker_id in chosen.workers:
             self._set_aside[worker_id] = (step, chosen.ready_at)
 
