Ask about free workers for a gang whose approved workers are full

The advisor was asked about further workers only until eight times the workers that a gang fills were approved, whether these had room or not; undecided workers that became free were never asked about.

Where the approved workers are enough by number but do not hold the gang, those undecided workers are now listed that have room, until 1.5 times the gang is expected to fit. Draining is not tried once too few workers are left for it, which saves planning time.

--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -212,6 +212,7 @@
     with (
         mock.patch.object(planning, "MAX_DRAINING_GANGS", 0),
         mock.patch.object(job_advice, "GANG_CHOICE_FACTOR", 1.0),
+        mock.patch.object(job_advice, "GANG_ROOM_FACTOR", 0.0),
     ):
         context.without = play(**options)["worth_by_kind"]
 
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -12,18 +12,3 @@
         return False
     responses = getattr(context, "responses", {})
     return any("queue-timeout" in str(response.body) for response in responses.values())
-
-
-def list_long_waits(context):
-    """Return the steps that waited too long in the model of a planner."""
-    model = getattr(context, "model", None)
-    return list(getattr(model, "long_waits", {}).values())
-
-
-@shows_fault("gang-workers-not-asked-about")
-def shows_workers_not_asked_about(context, events):
-    """Return whether only gangs waited too long, with room on workers that no request lists."""
-    waits = list_long_waits(context)
-    return bool(waits) and all(
-        wait.is_gang and wait.undecided_room and not wait.pending for wait in waits
-    )
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -1,11 +1,13 @@
 """Chooses in a planning round which workers the advisor is asked about."""
 
 import math
+from collections.abc import Iterable
 
 from ..models.resources import Amounts
 from ..scheduling.gang_workers import GangWorkers
 from ..scheduling.job_advice import (
     choose_advice_candidates,
+    choose_gang_candidates,
     compute_affordable,
     count_workers_to_list,
     split_request,
@@ -66,33 +68,43 @@
         *,
         rank: Rank,
     ) -> None:
-        """Request advice on as many further workers as leave a gang a choice."""
+        """Request advice on further workers that have room for a gang, or leave it a choice."""
         advice = self._client.get(step.key)
         if not self._may_ask(queue, advice, round_):
             return
-        count = count_workers_to_list(
-            filled=count_filled_workers(step, round_.get_largest_capacity(queue.pool)),
-            approved=len(approved),
-            pending=len(advice.pending),
-            odds=self._client.odds.get(queue.name),
+        usable = round_.get_usable(queue.pool)
+        odds = self._client.odds.get(queue.name)
+        pending = [usable[worker] for worker in advice.pending if worker in usable]
+        room = count_gang_room(step, round_, approved) + odds * count_gang_room(
+            step, round_, pending
         )
-        if not count:
-            return
-        undecided = [
-            worker
-            for worker in round_.get_usable(queue.pool).values()
+        undecided = {
+            worker.id: count_gang_room(step, round_, [worker])
+            for worker in usable.values()
             if worker.id not in advice.tickets
             and worker.id not in advice.refused
             and worker.id not in advice.pending
             and step.accepts(worker.message.labels)
             and step.amounts.fits_in(worker.capacity)
-        ]
-        undecided.sort(key=lambda w: -count_fitting(step.amounts, round_.get_free(w)))
+        }
+        choice = count_workers_to_list(
+            filled=count_filled_workers(step, round_.get_largest_capacity(queue.pool)),
+            approved=len(approved),
+            pending=len(advice.pending),
+            odds=odds,
+        )
+        workers = choose_gang_candidates(
+            undecided,
+            choice=choice,
+            size=step.message.count,
+            expected=room,
+            odds=odds,
+        )
         affordable = compute_affordable(
             decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
         )
-        for workers in split_request([w.id for w in undecided[:count]], affordable=affordable):
-            self._send(step, queue, round_, workers, AdvicePurpose.GANG, rank=rank)
+        for listed in split_request(workers, affordable=affordable):
+            self._send(step, queue, round_, listed, AdvicePurpose.GANG, rank=rank)
 
     def renew_for_gang(
         self,
@@ -194,3 +206,13 @@
     fitting = count_fitting(step.amounts, capacity)
     limit = step.message.max_per_worker or step.message.count
     return math.ceil(step.message.count / max(1, min(fitting, limit)))
+
+
+def count_gang_room(step: StepRun, round_: PlanningRound, workers: Iterable[FleetWorker]) -> int:
+    """Return how many members of a gang fit on workers that are not set aside for others."""
+    limit = step.message.max_per_worker or step.message.count
+    return sum(
+        min(limit, count_fitting(step.amounts, round_.get_free(worker)))
+        for worker in workers
+        if round_.may_use(worker.id, step)
+    )
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -15,7 +15,7 @@
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
 from .advice import AdviceClient, StepKey
-from .advice_planner import AdvicePlanner
+from .advice_planner import AdvicePlanner, count_filled_workers
 from .fleet import Fleet, FleetWorker
 from .planner_load import PlannerLoad, StepWorkers
 from .planning_round import PlannedStart, PlanningRound
@@ -327,7 +327,7 @@
         members = self._pack(step, unit, apart, round_)
         if members is not None:
             chosen: GangWorkers | None = GangWorkers(frozenset(members), round_.now)
-        elif round_.draining_gangs < MAX_DRAINING_GANGS:
+        elif self._may_drain(step, queue, round_):
             chosen = choose_earliest_workers(
                 step.amounts,
                 unit.unit.size,
@@ -346,6 +346,14 @@
         round_.set_aside(step, chosen, pool=queue.pool)
         self._advice_planner.renew_for_gang(step, queue, round_, chosen, approved=apart, rank=rank)
 
+    @staticmethod
+    def _may_drain(step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> bool:
+        """Return whether workers may be drained for another gang, as few as it fills."""
+        largest = round_.get_largest_capacity(queue.pool)
+        return round_.draining_gangs < MAX_DRAINING_GANGS and round_.may_drain(
+            count_filled_workers(step, largest), pool=queue.pool, fraction=MAX_DRAINING_FRACTION
+        )
+
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         rank = self._rank(step, round_.now)
         candidates = self._select_admitted(
--- a/src/dewspindle/_internal/scheduling/job_advice.py
+++ b/src/dewspindle/_internal/scheduling/job_advice.py
@@ -12,6 +12,9 @@
 DECISION_TIME_FRACTION = 0.5  # Time added by the listed workers, relative to `decision_ms`.
 MIN_LISTED_WORKERS = 8  # The advisor approves only some of those listed.
 
+# Members of a gang for which free capacity on approved workers is looked for, as a multiple of its
+# size: other tasks take some of it until the advisor has answered.
+GANG_ROOM_FACTOR = 1.5
 # Approved workers that a gang needs in all, as a multiple of those that it fills: only some of
 # them become free at the same time.
 GANG_CHOICE_FACTOR = 8.0
@@ -58,6 +61,26 @@
     return max(MIN_LISTED_WORKERS, math.ceil(missing / odds)) if missing > 0 else 0
 
 
+def choose_gang_candidates(
+    fitting_tasks: Mapping[str, int], *, choice: int, size: int, expected: float, odds: float
+) -> list[str]:
+    """Return the undecided workers to list for a gang, given how many members fit on each.
+
+    `choice` workers are listed, full or not, to leave the gang a choice. If it has one, those with
+    free capacity are, until the approved ones are expected to hold the gang; none are if too little
+    is free. `expected` members fit on the workers approved so far.
+    """
+    ranked = sorted(fitting_tasks, key=lambda w: -fitting_tasks[w])
+    if choice:
+        return ranked[:choice]
+    needed = size * GANG_ROOM_FACTOR
+    for count, worker in enumerate(ranked):
+        if expected >= needed:
+            return ranked[:count]
+        expected += odds * fitting_tasks[worker]
+    return ranked if expected >= needed else []
+
+
 def split_request(workers: Sequence[str], *, affordable: int) -> list[list[str]]:
     """Return the workers to list by request, for requests that are made at the same time."""
     return [list(workers[i : i + affordable]) for i in range(0, len(workers), affordable)]
