Add a failing test: steps wait for advice once callers send nothing more

Cause: `HelperRegistry` takes an entry instance for lost that relayed no request for 3 s, and only `_relay_jobs` tells it of one. Once callers send nothing, the live entry instances call the advisor no more. The leader and 4 replicas remain, with at most 4 long calls at a time, which are made in rank order.

The entry instances of the model are the product's `JobRelay`. While callers send requests none does, which a second scenario checks.

--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -13,12 +13,14 @@
 from typing import Any
 
 from dewspindle._internal.cell.jobs import JobStore
+from dewspindle._internal.exceptions import NoLeaderError
 from dewspindle._internal.jobs.advice import AdviceClient, StepKey
 from dewspindle._internal.jobs.fleet import Fleet, FleetWorker
 from dewspindle._internal.jobs.helper_registry import HelperRegistry
 from dewspindle._internal.jobs.placements import Placement, PlacementPhase
 from dewspindle._internal.jobs.planning import JobPlanner
 from dewspindle._internal.jobs.planning_round import PlannedStart
+from dewspindle._internal.jobs.relay import JobRelay
 from dewspindle._internal.jobs.runs import JobRun, StepRun, UnitRun
 from dewspindle._internal.jobs.task_events import FAILED_RETRY_DELAY_S
 from dewspindle._internal.models.ids import JobId
@@ -32,6 +34,7 @@
 from .clock import ManualClock, ManualTimerService
 
 ROUND_S = 0.05  # Between two planning rounds.
+CALLER_INTERVAL_S = 1.0  # Between two requests of callers at each entry instance.
 VALIDITY_MS = 1500
 MAX_WAIT_S = 3.0  # For a step for which twice its room is free.
 ROOM_FACTOR = 2
@@ -84,6 +87,33 @@
         task.add_done_callback(self._tasks.discard)
 
 
+class EntryInstance:
+    """An entry instance, which relays callers' requests and calls the advisor for the leader.
+
+    Takes the place of the client through which it reaches the leader.
+    """
+
+    def __init__(self, address: str, registry: HelperRegistry, timers: ManualTimerService) -> None:
+        self.address = address
+        self.is_lost = False
+        self._registry = registry
+        self._timers = timers
+        self.relay = JobRelay(self, timers=timers, helper_address=address)  # type: ignore[arg-type]
+
+    async def send(self, method: Any, request: Any, *, timeout_s: float, **_: Any) -> Any:
+        """Answer for the leader, which learns of the entry instance from the request."""
+        if self.is_lost:
+            await self._timers.sleep(timeout_s)
+            raise NoLeaderError("the entry instance is lost")
+        self._registry.record_entry_instance(request.helper_address)
+        return peers_pb2.RelayJobsAnswer(answers=[peers_pb2.JobAnswer() for _ in request.requests])
+
+    async def relay_request(self) -> None:
+        """Relay a request of a caller."""
+        if not self.is_lost:
+            await self.relay.send(peers_pb2.JobRequest(call=peers_pb2.JOB_READ), timeout_s=3.0)
+
+
 class WaitingModel:
     """A leader's planner over modelled workers, with the waiting time of each unit."""
 
@@ -97,12 +127,15 @@
         self.store = JobStore()
         self.fleet = Fleet()
         self.behaviors: dict[JobId, Behavior] = {}
-        self.entry_instances = [f"10.1.0.{number}:7000" for number in range(helpers)]
-        self.lost_helpers: set[str] = set()
+        self.callers_send = True
         self.replicas = [f"10.0.0.{number + 2}:7000" for number in range(4)]
         self.registry = HelperRegistry(
             own_address=LEADER, list_replicas=lambda: self.replicas, timers=self.timers
         )
+        self.entry_instances = {
+            address: EntryInstance(address, self.registry, self.timers)
+            for address in (f"10.1.0.{number}:7000" for number in range(helpers))
+        }
         self.client = AdviceClient(
             list_helpers=self.registry.list_helpers,
             call=self._advise,
@@ -127,6 +160,7 @@
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._numbers = itertools.count()
         self._worker_numbers = itertools.count()
+        self._group = LoopGroup()
         self._is_started = False
         for _ in range(workers):
             self.add_worker()
@@ -209,8 +243,13 @@
 
     def lose_helpers(self, count: int) -> None:
         """Lose entry instances, which leave their calls unanswered from now on."""
-        lost = [h for h in self.entry_instances if h not in self.lost_helpers][:count]
-        self.lost_helpers.update(lost)
+        running = [entry for entry in self.entry_instances.values() if not entry.is_lost]
+        for entry in running[:count]:
+            entry.is_lost = True
+
+    def silence_callers(self) -> None:
+        """Let callers send no more requests; the entry instances still serve calls."""
+        self.callers_send = False
 
     def _is_approved(self, key: StepKey, worker_id: str) -> bool:
         approved = self.behaviors[key[0]].approved
@@ -226,8 +265,10 @@
         advisor = self.store.get_current_queue(self.store.jobs[key[0]]).advisor
         call_s = (advisor.decision_ms + advisor.per_worker_ms * len(request.workers)) / 1000
         limit_s = request.timeout_ms / 1000
-        await self.timers.sleep(limit_s if helper in self.lost_helpers else min(call_s, limit_s))
-        if helper in self.lost_helpers or call_s > limit_s:
+        entry = self.entry_instances.get(helper)
+        is_unanswered = call_s > limit_s or (entry is not None and entry.is_lost)
+        await self.timers.sleep(limit_s if is_unanswered else call_s)
+        if is_unanswered:
             raise PeerUnreachableError(helper)
         answer = peers_pb2.AdviseAnswer(validity_ms=VALIDITY_MS)
         for worker_id in request.workers:
@@ -332,21 +373,29 @@
         """Plan in rounds, as the dispatcher does."""
         if not self._is_started:
             self._is_started = True
-            self.client.start(LoopGroup())  # type: ignore[arg-type]
+            self.client.start(self._group)  # type: ignore[arg-type]
+            for entry in self.entry_instances.values():
+                self._group.start_soon(entry.relay.run)
+            self._relay_requests()
         until = self.clock.now + seconds
         while self.clock.now < until:
             while self._events and self._events[0][0] <= self.clock.now:
                 _, _, call, arguments = heapq.heappop(self._events)
                 call(*arguments)
-            for address in self.entry_instances:
-                if address not in self.lost_helpers:
-                    self.registry.record_entry_instance(address)
             for start in self.planner.plan(workers_reconciled=True, early_ms=0):
                 self._start(start)
             self.client.dispatch()
             self._check_waits()
             await self.clock.advance(ROUND_S)
 
+    def _relay_requests(self) -> None:
+        """Let callers send a request to each entry instance, again and again."""
+        if not self.callers_send:
+            return
+        for entry in self.entry_instances.values():
+            self._group.start_soon(entry.relay_request)
+        self.after(CALLER_INTERVAL_S, self._relay_requests)
+
     # The check.
 
     def count_room(self, step: StepRun) -> int:
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -36,3 +36,14 @@
     return bool(waits) and all(
         wait.is_gang and wait.undecided_room and not wait.pending for wait in waits
     )
+
+
+@shows_fault("helpers-lost-without-requests")
+def shows_helpers_lost(context, events):
+    """Return whether steps waited for advice while idle entry instances were no helpers."""
+    waits = list_long_waits(context)
+    if not waits or not all(wait.pending and wait.undecided_room for wait in waits):
+        return False
+    known = {helper.address for helper in context.model.registry.list_helpers()}
+    running = [entry for entry in context.model.entry_instances.values() if not entry.is_lost]
+    return any(entry.address not in known for entry in running)
--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -59,6 +59,27 @@
     submit_gang(context, count, cores, first, last, ("usual", 1, "other"))
 
 
+@given("callers send nothing from second {second:d} on")
+def given_silent_callers(context, second):
+    context.model.after(second, context.model.silence_callers)
+
+
+@given("{jobs:d} tasks that become ready at second {second:d} and ask a slow advisor")
+def given_tasks(context, jobs, second):
+    for _ in range(jobs):
+        context.model.after(second, submit_task, context, None, ("slow", 1, "pool"))
+
+
+def submit_task(context, approved, queue):
+    context.model.submit(
+        count=1,
+        amounts=Amounts(processors=2600, memory_mb=23_000),
+        behavior=Behavior(run_s=4.0, approved=approved),
+        gang=False,
+        queue=queue,
+    )
+
+
 @when("{seconds:d} seconds of planning pass")
 def when_passed(context, seconds):
     for _ in range(int(seconds / MAX_STRIDE_S)):
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -39,3 +39,17 @@
     And a gang of 2 tasks of 10 cores for workers 0 to 39
     When 12 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # Entry instances call the advisor for the leader, which knows of them by the requests they relay.
+  Scenario: Steps start although callers have sent nothing for a while
+    Given a leader that plans steps on 40 workers of 32 cores
+    And callers send nothing from second 1 on
+    And 24 tasks that become ready at second 6 and ask a slow advisor
+    When 15 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: Steps start while callers send requests
+    Given a leader that plans steps on 40 workers of 32 cores
+    And 24 tasks that become ready at second 6 and ask a slow advisor
+    When 15 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
