Add a failing test: a step gets no advice while others renew tickets for full workers

Cause: `AdviceClient.dispatch` makes the queued calls in rank order alone. A step of single tasks without a valid ticket may list full workers, so a step whose approved workers are all full renews their tickets whenever these end, some 2 s apart with an advisor that takes 0.6 s. Where the replicas alone call the advisor there are at most 4 long calls at a time, and 12 such steps take all of them. Overdue jobs come last, so their requests are queued for as long as others wait.

In the test 16 urgent tasks wait for full workers. The request of an overdue task, for which 20 empty workers are approved, is unanswered after more than 3 s.

--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -47,3 +47,12 @@
     known = {helper.address for helper in context.model.registry.list_helpers()}
     running = [entry for entry in context.model.entry_instances.values() if not entry.is_lost]
     return any(entry.address not in known for entry in running)
+
+
+@shows_fault("advice-only-for-higher-ranks")
+def shows_advice_for_higher_ranks(context, events):
+    """Return whether steps waited for their first advice without any entry instance."""
+    waits = list_long_waits(context)
+    return bool(waits) and all(
+        wait.pending and not wait.approved and not context.model.entry_instances for wait in waits
+    )
--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -16,6 +16,11 @@
     context.model = WaitingModel(workers=count, helpers=HELPERS)
 
 
+@given("a leader and 4 replicas without entry instances that plan steps on {count:d} workers")
+def given_leader_without_entry_instances(context, count):
+    context.model = WaitingModel(workers=count, helpers=0)
+
+
 @given("{count:d} workers of 32 cores in another pool")
 def given_other_pool(context, count):
     for _ in range(count):
@@ -67,19 +72,30 @@
 @given("{jobs:d} tasks that become ready at second {second:d} and ask a slow advisor")
 def given_tasks(context, jobs, second):
     for _ in range(jobs):
-        context.model.after(second, submit_task, context, None, ("slow", 1, "pool"))
+        context.model.after(second, submit_task, context, None, ("slow", 1, "pool"), 0)
 
 
-def submit_task(context, approved, queue):
+def submit_task(context, approved, queue, waited_s):
     context.model.submit(
         count=1,
         amounts=Amounts(processors=2600, memory_mb=23_000),
         behavior=Behavior(run_s=4.0, approved=approved),
         gang=False,
         queue=queue,
+        waited_s=waited_s,
     )
 
 
+@given(
+    "{jobs:d} urgent tasks for workers {first:d} to {last:d}, and an overdue one for workers "
+    "{other_first:d} to {other_last:d}, that ask a slow advisor"
+)
+def given_urgent_tasks(context, jobs, first, last, other_first, other_last):
+    for _ in range(jobs):
+        submit_task(context, list_ids(first, last), ("slow", 0, "pool"), 0)
+    submit_task(context, list_ids(other_first, other_last), ("slow", 2, "pool"), 60)
+
+
 @when("{seconds:d} seconds of planning pass")
 def when_passed(context, seconds):
     for _ in range(int(seconds / MAX_STRIDE_S)):
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -53,3 +53,17 @@
     And 24 tasks that become ready at second 6 and ask a slow advisor
     When 15 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A step starts although those of higher rank ask again and again about full workers
+    Given a leader and 4 replicas without entry instances that plan steps on 40 workers
+    And workers 0 to 19 are full for 30 seconds
+    And 16 urgent tasks for workers 0 to 19, and an overdue one for workers 20 to 39, that ask a slow advisor
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A step starts beside one of higher rank that asks again and again about full workers
+    Given a leader and 4 replicas without entry instances that plan steps on 40 workers
+    And workers 0 to 19 are full for 30 seconds
+    And 1 urgent tasks for workers 0 to 19, and an overdue one for workers 20 to 39, that ask a slow advisor
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
