Serve the longest waiting request for advice in one of four calls

Ruled out for the step in the model: avoided workers, refused workers.

Of four calls one is now made for the request that has waited longest, if it has waited for a second.

--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -12,18 +12,3 @@
         return False
     responses = getattr(context, "responses", {})
     return any("queue-timeout" in str(response.body) for response in responses.values())
-
-
-def list_long_waits(context):
-    """Return the steps that waited too long in the model of a planner."""
-    model = getattr(context, "model", None)
-    return list(getattr(model, "long_waits", {}).values())
-
-
-@shows_fault("advice-only-for-higher-ranks")
-def shows_advice_for_higher_ranks(context, events):
-    """Return whether steps waited for their first advice without any entry instance."""
-    waits = list_long_waits(context)
-    return bool(waits) and all(
-        wait.pending and not wait.approved and not context.model.entry_instances for wait in waits
-    )
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -35,6 +35,9 @@
 # How long a failed helper is chosen last: until a lost instance is known to be lost.
 FAILED_HELPER_PENALTY_S = 3.0
 LONG_CALL_S = 0.15  # Longer calls leave one instance free for shorter ones.
+# One in so many calls is made for the request that has waited longest, once it has waited long.
+CALLS_PER_OLDEST = 4
+OLD_REQUEST_S = 1.0
 
 logger = get_logger(__name__)
 
@@ -186,6 +189,7 @@
         self._penalized_until: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
+        self._calls_in_turn = 0  # Calls since the longest waiting request was last to go first.
         self._helper_seconds: defaultdict[AdvicePurpose, float] = defaultdict(float)
 
     @property
@@ -229,7 +233,7 @@
         helpers = list(self._list_helpers())
         self._penalized_until = {h: at for h, at in self._penalized_until.items() if at > now}
         free = {helper for helper in helpers if helper.address not in self._calls_in_flight}
-        for request in sorted(self._waiting, key=lambda item: item.rank):
+        for request in self._list_in_turn(now):
             if not free:
                 return
             # Of several helpers, one is kept free of long calls.
@@ -243,10 +247,22 @@
             )
             free.remove(helper)
             self._waiting.remove(request)
+            self._calls_in_turn = (self._calls_in_turn + 1) % CALLS_PER_OLDEST
             self._calls_in_flight[helper.address] = request.is_long
             self._used_at[helper.address] = now
             self._group.start_soon(self._call_helper, helper.address, request)
 
+    def _list_in_turn(self, now: float) -> list[AdviceRequest]:
+        """Return the waiting requests in rank order, at times with the longest waiting one first.
+
+        Otherwise a request would wait as long as enough others of higher rank are made.
+        """
+        ranked = sorted(self._waiting, key=lambda request: request.rank)
+        oldest = min(reversed(ranked), key=lambda request: request.asked_at)
+        if self._calls_in_turn or now - oldest.asked_at < OLD_REQUEST_S:
+            return ranked
+        return [oldest, *(request for request in ranked if request is not oldest)]
+
     def take_load(self) -> dict[str, Any]:
         """Return figures on helpers and requests for the log, those on calls since the last time.
 
