Make long calls for advice only for capacity that is left

So the more steps waited, the less advice was left for those that could start, also after the load was gone.

A long call is now made only where capacity is free or expected to be by its answer, and as long as the steps of higher rank leave some of twice that capacity. Workers that are set aside for others do not count. Short calls are made as before.

--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -134,3 +134,9 @@
 def then_renewals_took(context, seconds):
     took_s = context.model.client.take_load()["helper_seconds"]
     assert 0 < took_s.get("renewal", 0.0) <= seconds, took_s
+
+
+@then("advice for tasks took at most {seconds:d} seconds of helpers in all")
+def then_tasks_took(context, seconds):
+    took_s = context.model.client.take_load()["helper_seconds"]
+    assert took_s.get("tasks", 0.0) <= seconds, took_s
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -75,3 +75,10 @@
     And 1 urgent tasks for workers 0 to 19, and an overdue one for workers 20 to 39, that ask a slow advisor
     When 12 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: Steps whose workers are full take no helpers
+    Given a leader that plans steps on 20 workers of 32 cores
+    And workers 0 to 19 are full for 30 seconds
+    And 16 urgent tasks for workers 0 to 19, and an overdue one for workers 0 to 19, that ask a slow advisor
+    When 12 seconds of planning pass
+    Then advice for tasks took at most 12 seconds of helpers in all
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -6,6 +6,7 @@
 from ..models.resources import Amounts
 from ..scheduling.gang_workers import GangWorkers
 from ..scheduling.job_advice import (
+    MIN_LISTED_WORKERS,
     choose_advice_candidates,
     choose_gang_candidates,
     compute_affordable,
@@ -14,7 +15,14 @@
 )
 from ..scheduling.job_placement import count_fitting
 from ..schema import jobs_pb2
-from .advice import AdviceClient, AdvicePurpose, AdviceRequest, StepAdvice, estimate_call_s
+from .advice import (
+    LONG_CALL_S,
+    AdviceClient,
+    AdvicePurpose,
+    AdviceRequest,
+    StepAdvice,
+    estimate_call_s,
+)
 from .fleet import FleetWorker
 from .planning_round import PlanningRound
 from .runs import StepRun
@@ -38,27 +46,50 @@
     def ask_for_tasks(
         self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound, *, rank: Rank
     ) -> None:
-        """Request advice on workers with capacity for single tasks."""
+        """Request advice on workers with capacity for single tasks.
+
+        A long call takes a helper from other steps. It is made only for capacity that is free or
+        expected to be by its answer, and that steps of higher rank leave.
+        """
         advice = self._client.get(step.key)
-        if not self._may_ask(queue, advice, round_) or advice.is_pending:
+        if not self._may_ask(queue, advice, round_):
             return
-        fits = {
-            worker.id: count_fitting(step.amounts, round_.get_free(worker))
-            for worker in round_.get_usable(queue.pool).values()
-            if worker.id not in advice.refused
-            and not advice.has_ticket(worker.id, round_.now)
-            and step.accepts(worker.message.labels)
-        }
+        call_s = estimate_call_s(queue.advisor, MIN_LISTED_WORKERS)
+        is_long = call_s > LONG_CALL_S
+        if is_long and not round_.has_unclaimed(queue.pool):
+            return
+        if advice.is_pending:
+            self._claim(step, queue, round_)
+            return
+        fits = {}
+        for worker in round_.get_usable(queue.pool).values():
+            if (
+                worker.id in advice.refused
+                or advice.has_ticket(worker.id, round_.now)
+                or not step.accepts(worker.message.labels)
+                or not round_.may_use(worker.id, step)
+            ):
+                continue
+            fits[worker.id] = count_fitting(step.amounts, round_.get_free(worker))
+            if is_long and not fits[worker.id]:
+                expected = round_.get_expected_free(worker, within_s=call_s)
+                fits[worker.id] = count_fitting(step.amounts, expected)
         workers = choose_advice_candidates(
             fits,
             approved_before=advice.tickets.keys(),
             needed=len(step.waiting),
-            may_include_full=not advice.list_valid(round_.now),
+            may_include_full=not is_long and not advice.list_valid(round_.now),
             decision_ms=queue.advisor.decision_ms,
             per_worker_ms=queue.advisor.per_worker_ms,
         )
+        if workers:
+            self._claim(step, queue, round_)
         self._send(step, queue, round_, workers, AdvicePurpose.TASKS, rank=rank)
 
+    @staticmethod
+    def _claim(step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
+        round_.claim(queue.pool, step.amounts * step.count_waiting_tasks())
+
     def ask_for_gang(
         self,
         step: StepRun,
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -1,7 +1,7 @@
 """State of one planning round."""
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -16,6 +16,10 @@
 # A task past its expected end is expected to end within this fraction of its expected duration.
 OVERRUN_FRACTION = 0.25
 MIN_OVERRUN_S = 0.2  # Also for tasks without an estimate.
+CLAIM_HORIZON_S = 1.0  # A long call to the advisor takes about as long.
+# Steps that together need this many times the capacity that is expected to be free may request
+# advice at the same time, as the advisor approves only some of the workers that have it.
+CLAIM_FACTOR = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +63,8 @@
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
+        self._claimed: dict[str, Amounts] = defaultdict(Amounts)  # By pool.
+        self._expected_free: dict[str, Amounts] = {}
         self._draining: Counter[str] = Counter()  # Workers set aside until tasks end, by pool.
         self._draining_gangs = 0
 
@@ -132,6 +138,30 @@
             self._outlooks[worker.id] = releases
         return WorkerOutlook(worker.id, self.get_free(worker), releases)
 
+    def get_expected_free(self, worker: FleetWorker, *, within_s: float) -> Amounts:
+        """Return the capacity of a worker that is free now or expected to be within a time."""
+        free = self.get_free(worker)
+        for release in self.make_outlook(worker).releases:
+            if release.at > self.now + within_s:
+                break
+            free += release.amounts
+        return free
+
+    def claim(self, pool: str, amounts: Amounts) -> None:
+        """Count capacity of a pool that a step is to use for which advice is requested."""
+        self._claimed[pool] += amounts
+
+    def has_unclaimed(self, pool: str) -> bool:
+        """Return whether capacity is expected to be left by the steps that requested advice."""
+        expected = self._expected_free.get(pool)
+        if expected is None:
+            expected = NO_RESOURCES
+            for worker in self.get_usable(pool).values():
+                free = self.get_expected_free(worker, within_s=CLAIM_HORIZON_S)
+                expected += free.get_elementwise_max(NO_RESOURCES)
+            self._expected_free[pool] = expected
+        return self._claimed[pool].fits_in(expected * CLAIM_FACTOR)
+
     def _list_releases(self, worker: FleetWorker) -> Iterator[Release]:
         for placement in worker.placements.values():
             at = estimate_end(placement, self.now)
@@ -145,6 +175,7 @@
     def set_aside(self, step: StepRun, chosen: GangWorkers, *, pool: str) -> None:
         """Keep workers for a gang until it is expected to start."""
         self.waiting_gangs.append((step, chosen))
+        self.claim(pool, step.amounts * step.message.count)
         if chosen.ready_at > self.now:
             self._draining_gangs += 1
             self._draining[pool] += len(chosen.workers)
