Request advice for gangs only for capacity that steps of higher rank leave

They now follow the same rule as the long calls of single tasks: steps claim the capacity that they are to use in rank order, once a round, and those beyond twice of what is free or soon is do not ask.

A gang that fits already renews just the workers that it starts on; one that waits for tasks to end lists as many others again, which keeps the call short.

--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -56,10 +56,10 @@
             return
         call_s = estimate_call_s(queue.advisor, MIN_LISTED_WORKERS)
         is_long = call_s > LONG_CALL_S
-        if is_long and not round_.has_unclaimed(queue.pool):
+        if is_long and not round_.may_claim(step, queue.pool):
             return
         if advice.is_pending:
-            self._claim(step, queue, round_)
+            round_.claim(step, queue.pool)
             return
         fits = {}
         for worker in round_.get_usable(queue.pool).values():
@@ -83,13 +83,9 @@
             per_worker_ms=queue.advisor.per_worker_ms,
         )
         if workers:
-            self._claim(step, queue, round_)
+            round_.claim(step, queue.pool)
         self._send(step, queue, round_, workers, AdvicePurpose.TASKS, rank=rank)
 
-    @staticmethod
-    def _claim(step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
-        round_.claim(queue.pool, step.amounts * step.count_waiting_tasks())
-
     def ask_for_gang(
         self,
         step: StepRun,
@@ -104,20 +100,22 @@
         if not self._may_ask(queue, advice, round_):
             return
         usable = round_.get_usable(queue.pool)
-        odds = self._client.odds.get(queue.name)
-        pending = [usable[worker] for worker in advice.pending if worker in usable]
-        room = count_gang_room(step, round_, approved) + odds * count_gang_room(
-            step, round_, pending
-        )
-        undecided = {
-            worker.id: count_gang_room(step, round_, [worker])
+        undecided = [
+            worker
             for worker in usable.values()
             if worker.id not in advice.tickets
             and worker.id not in advice.refused
             and worker.id not in advice.pending
             and step.accepts(worker.message.labels)
             and step.amounts.fits_in(worker.capacity)
-        }
+        ]
+        if not undecided or not round_.may_claim(step, queue.pool):
+            return
+        round_.claim(step, queue.pool)
+        odds = self._client.odds.get(queue.name)
+        pending = [usable[worker] for worker in advice.pending if worker in usable]
+        room = count_gang_room(step, round_, approved)
+        expected = room + odds * count_gang_room(step, round_, pending)
         choice = count_workers_to_list(
             filled=count_filled_workers(step, round_.get_largest_capacity(queue.pool)),
             approved=len(approved),
@@ -125,10 +123,10 @@
             odds=odds,
         )
         workers = choose_gang_candidates(
-            undecided,
+            {worker.id: count_gang_room(step, round_, [worker]) for worker in undecided},
             choice=choice,
             size=step.message.count,
-            expected=room,
+            expected=expected,
             odds=odds,
         )
         affordable = compute_affordable(
@@ -150,7 +148,8 @@
         """Renew the tickets of workers set aside for a gang that would end before its start.
 
         Which workers are set aside changes with each end of a task, and a call takes long however
-        few it lists. So a renewal lists other approved workers too, and the next one waits for it.
+        few it lists. So a renewal lists as many other approved workers, and the next one waits for
+        it. A gang that fits already starts on the chosen ones.
         """
         advice = self._client.get(step.key)
         if not self._may_ask(queue, advice, round_) or advice.is_renewal_pending:
@@ -158,12 +157,12 @@
         affordable = compute_affordable(
             decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
         )
-        others = [worker for worker in approved if worker.id not in chosen.workers]
-        others.sort(key=lambda w: -count_fitting(step.amounts, round_.get_free(w)))
-        listed = [*sorted(chosen.workers), *(worker.id for worker in others)]
-        requests = split_request(
-            listed[: max(affordable, len(chosen.workers))], affordable=affordable
-        )
+        listed = sorted(chosen.workers)
+        if chosen.ready_at > round_.now:
+            others = [worker for worker in approved if worker.id not in chosen.workers]
+            others.sort(key=lambda w: -count_fitting(step.amounts, round_.get_free(w)))
+            listed += [worker.id for worker in others[: len(listed)]]
+        requests = split_request(listed, affordable=affordable)
         call_s = estimate_call_s(queue.advisor, len(requests[0]))
         if round_.now + call_s + RENEWAL_MARGIN_S < chosen.ready_at:
             return
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -8,6 +8,7 @@
 from ..models.resources import NO_RESOURCES, Amounts
 from ..scheduling.gang_workers import GangWorkers, Release, WorkerOutlook
 from ..scheduling.team_caps import TeamCaps
+from .advice import StepKey
 from .fleet import Fleet, FleetWorker
 from .placements import Placement, PlacementPhase
 from .runs import StepRun, UnitRun
@@ -64,6 +65,7 @@
         self._outlooks: dict[str, list[Release]] = {}
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
         self._claimed: dict[str, Amounts] = defaultdict(Amounts)  # By pool.
+        self._claimants: set[StepKey] = set()
         self._expected_free: dict[str, Amounts] = {}
         self._draining: Counter[str] = Counter()  # Workers set aside until tasks end, by pool.
         self._draining_gangs = 0
@@ -147,12 +149,16 @@
             free += release.amounts
         return free
 
-    def claim(self, pool: str, amounts: Amounts) -> None:
-        """Count capacity of a pool that a step is to use for which advice is requested."""
-        self._claimed[pool] += amounts
+    def claim(self, step: StepRun, pool: str) -> None:
+        """Count once the capacity that a step is to use for which advice is requested."""
+        if step.key not in self._claimants:
+            self._claimants.add(step.key)
+            self._claimed[pool] += step.amounts * step.count_waiting_tasks()
 
-    def has_unclaimed(self, pool: str) -> bool:
-        """Return whether capacity is expected to be left by the steps that requested advice."""
+    def may_claim(self, step: StepRun, pool: str) -> bool:
+        """Return whether steps of higher rank are expected to leave capacity for a step."""
+        if step.key in self._claimants:
+            return True
         expected = self._expected_free.get(pool)
         if expected is None:
             expected = NO_RESOURCES
@@ -175,7 +181,7 @@
     def set_aside(self, step: StepRun, chosen: GangWorkers, *, pool: str) -> None:
         """Keep workers for a gang until it is expected to start."""
         self.waiting_gangs.append((step, chosen))
-        self.claim(pool, step.amounts * step.message.count)
+        self.claim(step, pool)
         if chosen.ready_at > self.now:
             self._draining_gangs += 1
             self._draining[pool] += len(chosen.workers)
