--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -2,7 +2,6 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable
 from typing import Any
 
 from ..cell.jobs import JobStore
@@ -21,6 +20,7 @@
 from .planning_round import PlannedStart, PlanningRound
 from .relocation import StartRelocator
 from .runs import JobRun, StepRun, UnitRun
+from .suspect_placement import choose_for_suspect, has_suspect
 from .team_work import TeamWork
 
 # Gangs for which workers are drained at a time, in rank order.
@@ -32,31 +32,6 @@
 logger = get_logger(__name__)
 
 
-def has_suspect(worker: FleetWorker, round_: PlanningRound) -> bool:
-    """Return whether a worker runs or gets a task under which another worker crashed."""
-    return worker.has_suspect or worker.id in round_.workers_with_suspect
-
-
-def choose_for_suspect(
-    unit: UnitRun,
-    candidates: list[FleetWorker],
-    round_: PlanningRound,
-    *,
-    score: Callable[[FleetWorker], float | None],
-) -> FleetWorker | None:
-    """Return the worker for a task that may crash it, or None if it fits nowhere.
-
-    Prefers workers without another such task, then those with the fewest tasks.
-    """
-    fitting = [worker for worker in candidates if score(worker) is not None]
-
-    def rank(worker: FleetWorker) -> tuple[bool, bool, int]:
-        is_shared = has_suspect(worker, round_)
-        return (is_shared, worker.id in unit.avoided, len(worker.placements))
-
-    return min(fitting, key=rank, default=None)
-
-
 class JobPlanner:
     """Keeps the steps that wait for capacity and places them in rank order."""
 
