Add a failing test: a task is only approved on workers that are kept for gangs

Cause: `ask_for_tasks` looks for room without `may_use`. Workers kept for a gang are empty or drain, so they have room; if they were approved for the step, they hold all tasks that wait, and `choose_advice_candidates` lists no others. The step may not start there. Where the tickets of some of them end one after another, each request lists the one whose ticket has just ended, and so on without end.

In the test a task was approved on 5 workers that a gang keeps. From 2.2 s on its requests list w0, w1, w2, w3, w0 and w4, w1, ..., one each 0.6 s, while 20 empty workers that are approved, not decided and not kept are never listed. It starts at 12.5 s, when the gang is late and the task ranks before it.

Room on the kept workers does not count in this test.

--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -128,6 +128,7 @@
         self.fleet = Fleet()
         self.behaviors: dict[JobId, Behavior] = {}
         self.callers_send = True
+        self.counts_reserved_room = True  # Whether room on workers set aside for gangs counts.
         self.replicas = [f"10.0.0.{number + 2}:7000" for number in range(4)]
         self.registry = HelperRegistry(
             own_address=LEADER, list_replicas=lambda: self.replicas, timers=self.timers
@@ -413,6 +414,7 @@
             if worker.message.pool == queue.pool
             and worker.is_usable(self.clock.now)
             and worker.id not in avoided
+            and (self.counts_reserved_room or worker.id not in self.planner._set_aside_before)
             and (not queue.HasField("advisor") or self._is_approved(step.key, worker.id))
         }
 
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -56,3 +56,13 @@
     return bool(waits) and all(
         wait.pending and not wait.approved and not context.model.entry_instances for wait in waits
     )
+
+
+@shows_fault("advice-only-on-reserved-workers")
+def shows_advice_on_reserved_workers(context, events):
+    """Return whether single tasks waited with tickets, but none where they may start."""
+    waits = list_long_waits(context)
+    return bool(waits) and all(
+        not wait.is_gang and wait.valid_tickets and wait.undecided_room == wait.room
+        for wait in waits
+    )
--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -33,6 +33,28 @@
         context.model.occupy(worker_id, CAPACITY, seconds)
 
 
+@given("room on workers kept for gangs is not counted")
+def given_reserved_room_not_counted(context):
+    context.model.counts_reserved_room = False
+
+
+@given("worker {number:d} is full for {seconds:g} seconds")
+def given_full_worker(context, number, seconds):
+    context.model.occupy(f"w{number}", CAPACITY, seconds)
+
+
+@given("a long task for workers {first:d} to {last:d} and {other_first:d} to {other_last:d}")
+def given_long_task(context, first, last, other_first, other_last):
+    approved = list_ids(first, last) | list_ids(other_first, other_last)
+    context.model.submit(
+        count=1,
+        amounts=Amounts(processors=2600, memory_mb=23_000),
+        behavior=Behavior(run_s=60.0, approved=approved),
+        gang=False,
+        queue=("slow", 1, "pool"),
+    )
+
+
 def submit_gang(context, count, cores, first, last, queue):
     context.model.submit(
         count=count,
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -67,3 +67,20 @@
     And 1 urgent tasks for workers 0 to 19, and an overdue one for workers 20 to 39, that ask a slow advisor
     When 12 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # The gang keeps workers 0 to 6. Their tickets for the task end one after another, so that each
+  # request lists one of them.
+  Scenario: A task starts on free workers although it is approved on workers kept for a gang
+    Given a leader that plans steps on 80 workers of 32 cores
+    And worker 0 is full for 1 seconds
+    And worker 1 is full for 2.5 seconds
+    And worker 2 is full for 3.1 seconds
+    And worker 3 is full for 3.7 seconds
+    And worker 4 is full for 4.3 seconds
+    And workers 5 to 59 are full for 30 seconds
+    And workers 60 to 79 are full for 4 seconds
+    And 1 urgent gangs of 7 tasks of 32 cores for workers 0 to 6
+    And a long task for workers 0 to 4 and 60 to 79
+    And room on workers kept for gangs is not counted
+    When 15 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
