Add failing tests: random steps wait, and a step waits after the loss of all entry instances

The random load fills 60 workers at first and then takes about half of them with gangs and single tasks, some of them overdue, while workers are lost, return under new ids, are suspended and fail tasks.

After the loss of all entry instances a call is made through one of them after the other: each fails by its time-out, and `FAILED_HELPER_PENALTY_S` only puts that one last. The time-outs after the first are twice the expected time and 1 s more, and the leader takes an entry instance for alive for 3 s after its last request.

--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -121,7 +121,6 @@
         self.clock = ManualClock()
         self.timers = ManualTimerService(self.clock)
         self.began_at = self.clock.now
-        self.rng = random.Random(seed)
         self.seed = seed
         self.approved_fraction = approved
         self.store = JobStore()
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -66,3 +66,16 @@
         not wait.is_gang and wait.valid_tickets and wait.undecided_room == wait.room
         for wait in waits
     )
+
+
+@shows_fault("lost-helpers-asked-in-turn")
+def shows_lost_helpers_asked(context, events):
+    """Return whether steps waited for their first advice after all entry instances were lost."""
+    waits = list_long_waits(context)
+    return bool(waits) and all(
+        wait.pending
+        and not wait.approved
+        and context.model.entry_instances
+        and all(entry.is_lost for entry in context.model.entry_instances.values())
+        for wait in waits
+    )
--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -2,6 +2,7 @@
 
 from dewspindle._internal.models.resources import Amounts
 from features.lib.stepping import MAX_STRIDE_S
+from features.lib.waiting_load import RandomLoad
 from features.lib.waiting_steps import CAPACITY, MAX_WAIT_S, Behavior, WaitingModel
 
 HELPERS = 20
@@ -86,6 +87,17 @@
     submit_gang(context, count, cores, first, last, ("usual", 1, "other"))
 
 
+@given("random steps and trouble of workers with seed {seed:d}")
+def given_random_load(context, seed):
+    context.model.seed = seed
+    RandomLoad(context.model, seed=seed).begin()
+
+
+@given("all entry instances are lost at second {second:g}")
+def given_lost_entry_instances(context, second):
+    context.model.after(second, context.model.lose_helpers, HELPERS)
+
+
 @given("callers send nothing from second {second:d} on")
 def given_silent_callers(context, second):
     context.model.after(second, context.model.silence_callers)
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -84,3 +84,24 @@
     And room on workers kept for gangs is not counted
     When 15 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A step starts although all entry instances are lost
+    Given a leader that plans steps on 40 workers of 32 cores
+    And all entry instances are lost at second 5.5
+    And 1 tasks that become ready at second 6 and ask a slow advisor
+    When 15 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # Gangs and single tasks that take half of the fleet. It is full at first.
+  Scenario Outline: Random steps start while workers come, go and fail tasks, seed <seed>
+    Given a leader that plans steps on 60 workers of 32 cores
+    And random steps and trouble of workers with seed <seed>
+    When 22 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+    Examples:
+      | seed |
+      | 2    |
+      | 5    |
+      | 13   |
+      | 14   |
