--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -1,7 +1,10 @@
+import random
+
 from behave import given, then, when
 
 from dewspindle._internal.models.resources import Amounts
 from features.lib.stepping import MAX_STRIDE_S
+from features.lib.waiting_load import RandomLoad
 from features.lib.waiting_steps import CAPACITY, MAX_WAIT_S, Behavior, WaitingModel
 
 HELPERS = 20
@@ -35,15 +38,38 @@
 
 @given("workers {first:d} to {last:d} run tasks of changing length one after another")
 def given_busy(context, first, last):
+    rng = random.Random(1)
     for worker_id in sorted(list_ids(first, last)):
-        occupy_again(context.model, worker_id)
+        occupy_again(context.model, worker_id, rng)
 
 
-def occupy_again(model, worker_id):
+def occupy_again(model, worker_id, rng):
     """Let a worker run one task after another, some of which take longer than estimated."""
-    seconds = model.rng.uniform(0.5, 3.0)
-    model.occupy(worker_id, CAPACITY, seconds, estimate_s=seconds * model.rng.uniform(0.5, 1.5))
-    model.after(seconds, occupy_again, model, worker_id)
+    seconds = rng.uniform(0.5, 3.0)
+    model.occupy(worker_id, CAPACITY, seconds, estimate_s=seconds * rng.uniform(0.5, 1.5))
+    model.after(seconds, occupy_again, model, worker_id, rng)
+
+
+@given("room on workers kept for gangs is not counted")
+def given_reserved_room_not_counted(context):
+    context.model.counts_reserved_room = False
+
+
+@given("worker {number:d} is full for {seconds:g} seconds")
+def given_full_worker(context, number, seconds):
+    context.model.occupy(f"w{number}", CAPACITY, seconds)
+
+
+@given("a long task for workers {first:d} to {last:d} and {other_first:d} to {other_last:d}")
+def given_long_task(context, first, last, other_first, other_last):
+    approved = list_ids(first, last) | list_ids(other_first, other_last)
+    context.model.submit(
+        count=1,
+        amounts=Amounts(processors=2600, memory_mb=23_000),
+        behavior=Behavior(run_s=60.0, approved=approved),
+        gang=False,
+        queue=("slow", 1, "pool"),
+    )
 
 
 def submit_gang(context, count, cores, first, last, queue):
@@ -85,6 +111,17 @@
     submit_gang(context, count, cores, first, last, ("usual", 1, "other"))
 
 
+@given("random steps and trouble of workers with seed {seed:d}")
+def given_random_load(context, seed):
+    context.model.seed = seed
+    RandomLoad(context.model, seed=seed).begin()
+
+
+@given("all entry instances are lost at second {second:g}")
+def given_lost_entry_instances(context, second):
+    context.model.after(second, context.model.lose_helpers, HELPERS)
+
+
 @given("callers send nothing from second {second:d} on")
 def given_silent_callers(context, second):
     context.model.after(second, context.model.silence_callers)
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -82,3 +82,41 @@
     And 16 urgent tasks for workers 0 to 19, and an overdue one for workers 0 to 19, that ask a slow advisor
     When 12 seconds of planning pass
     Then advice for tasks took at most 12 seconds of helpers in all
+
+  # The gang keeps workers 0 to 6. Their tickets for the task end one after another, so that each
+  # request lists one of them.
+  Scenario: A task starts on free workers although it is approved on workers kept for a gang
+    Given a leader that plans steps on 80 workers of 32 cores
+    And worker 0 is full for 1 seconds
+    And worker 1 is full for 2.5 seconds
+    And worker 2 is full for 3.1 seconds
+    And worker 3 is full for 3.7 seconds
+    And worker 4 is full for 4.3 seconds
+    And workers 5 to 59 are full for 30 seconds
+    And workers 60 to 79 are full for 4 seconds
+    And 1 urgent gangs of 7 tasks of 32 cores for workers 0 to 6
+    And a long task for workers 0 to 4 and 60 to 79
+    And room on workers kept for gangs is not counted
+    When 15 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A step starts although all entry instances are lost
+    Given a leader that plans steps on 40 workers of 32 cores
+    And all entry instances are lost at second 5.5
+    And 1 tasks that become ready at second 6 and ask a slow advisor
+    When 15 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # Gangs and single tasks that take half of the fleet. It is full at first.
+  Scenario Outline: Random steps start while workers come, go and fail tasks, seed <seed>
+    Given a leader that plans steps on 60 workers of 32 cores
+    And random steps and trouble of workers with seed <seed>
+    When 22 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+    Examples:
+      | seed |
+      | 2    |
+      | 5    |
+      | 13   |
+      | 14   |
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -6,7 +6,6 @@
 from ..models.resources import Amounts
 from ..scheduling.gang_workers import GangWorkers
 from ..scheduling.job_advice import (
-    MIN_LISTED_WORKERS,
     choose_advice_candidates,
     choose_gang_candidates,
     compute_affordable,
@@ -54,7 +53,7 @@
         advice = self._client.get(step.key)
         if not self._may_ask(queue, advice, round_):
             return
-        call_s = estimate_call_s(queue.advisor, MIN_LISTED_WORKERS)
+        call_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
         is_long = call_s > LONG_CALL_S
         if is_long and not round_.may_claim(step, queue.pool):
             return
@@ -129,9 +128,7 @@
             expected=expected,
             odds=odds,
         )
-        affordable = compute_affordable(
-            decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
-        )
+        affordable = count_listed(queue.advisor)
         for listed in split_request(workers, affordable=affordable):
             self._send(step, queue, round_, listed, AdvicePurpose.GANG, rank=rank)
 
@@ -154,9 +151,7 @@
         advice = self._client.get(step.key)
         if not self._may_ask(queue, advice, round_) or advice.is_renewal_pending:
             return
-        affordable = compute_affordable(
-            decision_ms=queue.advisor.decision_ms, per_worker_ms=queue.advisor.per_worker_ms
-        )
+        affordable = count_listed(queue.advisor)
         listed = sorted(chosen.workers)
         if chosen.ready_at > round_.now:
             others = [worker for worker in approved if worker.id not in chosen.workers]
@@ -231,6 +226,11 @@
         )
 
 
+def count_listed(advisor: jobs_pb2.Advisor) -> int:
+    """Return how many workers one request of a queue may list."""
+    return compute_affordable(decision_ms=advisor.decision_ms, per_worker_ms=advisor.per_worker_ms)
+
+
 def count_filled_workers(step: StepRun, capacity: Amounts) -> int:
     """Return how many empty workers of a capacity a gang fills."""
     fitting = count_fitting(step.amounts, capacity)
