--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -12,17 +12,3 @@
         return False
     responses = getattr(context, "responses", {})
     return any("queue-timeout" in str(response.body) for response in responses.values())
-
-
-@shows_fault("lost-helpers-asked-in-turn")
-def shows_lost_helpers_asked(context, events):
-    """Return whether steps waited for their first advice after all entry instances were lost."""
-    model = getattr(context, "model", None)
-    waits = list(getattr(model, "long_waits", {}).values())
-    return bool(waits) and all(
-        wait.pending
-        and not wait.approved
-        and model.entry_instances
-        and all(entry.is_lost for entry in model.entry_instances.values())
-        for wait in waits
-    )
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -239,9 +239,11 @@
             # Of several helpers, one is kept free of long calls.
             if request.is_long and 1 < len(helpers) <= sum(self._calls_in_flight.values()) + 1:
                 continue
+            # Helpers of one kind may be lost together, so a retry prefers the other kind.
+            is_retry = self.get(request.key).failures > 0
             helper = choose_helper(
                 free,
-                is_long=request.is_long,
+                is_long=request.is_long and not is_retry,
                 used_at=self._used_at,
                 penalized=self._penalized_until,
             )
