--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -1,4 +1,4 @@
-"""Model of a leader that plans steps on modelled workers, and a check of how long steps wait.
+"""Model of a leader that plans steps on modelled workers.
 
 The planner and the client of the advisor are the product's; workers, helpers and the advisor are
 modelled on a manual clock.
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from dewspindle._internal.cell.jobs import JobStore
@@ -21,23 +21,21 @@
 from dewspindle._internal.jobs.planning import JobPlanner
 from dewspindle._internal.jobs.planning_round import PlannedStart
 from dewspindle._internal.jobs.relay import JobRelay
-from dewspindle._internal.jobs.runs import JobRun, StepRun, UnitRun
+from dewspindle._internal.jobs.runs import JobRun, UnitRun
 from dewspindle._internal.jobs.task_events import FAILED_RETRY_DELAY_S
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
 from dewspindle._internal.models.resources import Amounts
 from dewspindle._internal.replication.transport import PeerUnreachableError
-from dewspindle._internal.scheduling.job_placement import count_fitting
 from dewspindle._internal.schema import jobs_pb2, peers_pb2, resources_pb2
 from dewspindle._internal.utils.metrics import Metrics
 
 from .clock import ManualClock, ManualTimerService
+from .wait_check import WaitCheck
 
 ROUND_S = 0.05  # Between two planning rounds.
 CALLER_INTERVAL_S = 1.0  # Between two requests of callers at each entry instance.
 VALIDITY_MS = 1500
-MAX_WAIT_S = 3.0  # For a step for which twice its room is free.
-ROOM_FACTOR = 2
 CAPACITY = Amounts(processors=32_000, memory_mb=131_072)
 PRIORITIES = 3
 # Decision time of the advisor of a queue, and the time that each listed worker adds.
@@ -45,25 +43,6 @@
 LEADER = "10.0.0.1:7000"
 
 
-@dataclass(frozen=True)
-class LongWait:
-    """A step that has waited too long although there is room for it."""
-
-    step: StepKey
-    is_gang: bool
-    waiting: int  # Tasks.
-    room: int  # For how many of its tasks approved workers have room.
-    undecided_room: int  # Of it, on workers on which the advisor has not decided yet.
-    ended_room: int  # Of it, on workers whose tickets have ended.
-    reserved_room: int  # Of it, on workers set aside for any gang.
-    since: float
-    valid_tickets: int
-    pending: int  # Workers listed in unanswered requests.
-    approved: int  # Usable workers that the leader knows to be approved.
-    waiting_gangs: int
-    reserved_workers: int
-
-
 @dataclass
 class Behavior:
     """How the tasks of a job run."""
@@ -71,7 +50,6 @@
     run_s: float
     failing_index: int | None = None  # The first attempt of the task at this position fails.
     approved: frozenset[str] | None = None  # By the advisor; drawn at random if not given.
-    attempts: dict[int, int] = field(default_factory=dict)
 
 
 class LoopGroup:
@@ -127,7 +105,6 @@
         self.fleet = Fleet()
         self.behaviors: dict[JobId, Behavior] = {}
         self.callers_send = True
-        self.counts_reserved_room = True  # Whether room on workers set aside for gangs counts.
         self.replicas = [f"10.0.0.{number + 2}:7000" for number in range(4)]
         self.registry = HelperRegistry(
             own_address=LEADER, list_replicas=lambda: self.replicas, timers=self.timers
@@ -154,9 +131,15 @@
         }
         self.store.queue_table = jobs_pb2.QueueTable(version=1, queues=self.queues.values())
         self.runs: list[JobRun] = []
-        self.long_waits: dict[StepKey, LongWait] = {}
-        self.longest_wait_s = 0.0
-        self._roomy_since: dict[tuple[JobId, int], float] = {}
+        self.check = WaitCheck(
+            runs=self.runs,
+            fleet=self.fleet,
+            store=self.store,
+            client=self.client,
+            planner=self.planner,
+            timers=self.timers,
+            is_approved=self._is_approved,
+        )
         self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._numbers = itertools.count()
         self._worker_numbers = itertools.count()
@@ -385,7 +368,7 @@
             for start in self.planner.plan(workers_reconciled=True, early_ms=0):
                 self._start(start)
             self.client.dispatch()
-            self._check_waits()
+            self.check.update()
             await self.clock.advance(ROUND_S)
 
     def _relay_requests(self) -> None:
@@ -395,69 +378,3 @@
         for entry in self.entry_instances.values():
             self._group.start_soon(entry.relay_request)
         self.after(CALLER_INTERVAL_S, self._relay_requests)
-
-    # The check.
-
-    def count_room(self, step: StepRun) -> int:
-        """Return how many tasks of a step fit on the usable workers that may run all of them."""
-        return sum(self._list_room(step).values())
-
-    def _list_room(self, step: StepRun) -> dict[str, int]:
-        queue = self.store.get_current_queue(step.run.stored)
-        avoided: set[str] = set()
-        if not step.message.gang:
-            avoided = avoided.union(*(unit.avoided for unit in step.waiting.values()))
-        return {
-            worker.id: count_fitting(step.amounts, worker.free)
-            for worker in self.fleet
-            if worker.message.pool == queue.pool
-            and worker.is_usable(self.clock.now)
-            and worker.id not in avoided
-            and (self.counts_reserved_room or worker.id not in self.planner._set_aside_before)
-            and (not queue.HasField("advisor") or self._is_approved(step.key, worker.id))
-        }
-
-    def _check_waits(self) -> None:
-        """Record the steps that have waited too long with room for them twice over."""
-        now, before = self.clock.now, self._roomy_since
-        self._roomy_since = {}
-        for run in self.runs:
-            for step in run.steps.values():
-                if not step.waiting or not step.is_ready:
-                    continue
-                room = self.count_room(step)
-                if room < ROOM_FACTOR * step.count_waiting_tasks():
-                    continue
-                for position in step.waiting:
-                    key = (run.stored.id, position)
-                    since = self._roomy_since[key] = before.get(key, now)
-                    self.longest_wait_s = max(self.longest_wait_s, now - since)
-                    if now - since > MAX_WAIT_S:
-                        self._record_long_wait(step, room, since)
-
-    def _record_long_wait(self, step: StepRun, room: int, since: float) -> None:
-        if step.key in self.long_waits:
-            return
-        advice, load = self.client.get(step.key), self.planner.measure_load()
-        by_worker, now = self._list_room(step), self.clock.now
-        self.long_waits[step.key] = LongWait(
-            step=step.key,
-            is_gang=step.message.gang,
-            waiting=step.count_waiting_tasks(),
-            room=room,
-            undecided_room=sum(n for w, n in by_worker.items() if w not in advice.tickets),
-            ended_room=sum(
-                n
-                for w, n in by_worker.items()
-                if w in advice.tickets and not advice.has_ticket(w, now)
-            ),
-            reserved_room=sum(
-                n for w, n in by_worker.items() if w in self.planner._set_aside_before
-            ),
-            since=round(since - self.began_at, 2),
-            valid_tickets=len(advice.list_valid(now)),
-            pending=len(advice.pending),
-            approved=sum(self.fleet.get(worker) is not None for worker in advice.tickets),
-            waiting_gangs=load["waiting_gangs"],
-            reserved_workers=load["reserved_workers"],
-        )
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -16,8 +16,8 @@
 
 def list_long_waits(context):
     """Return the steps that waited too long in the model of a planner."""
-    model = getattr(context, "model", None)
-    return list(getattr(model, "long_waits", {}).values())
+    check = getattr(getattr(context, "model", None), "check", None)
+    return list(check.long_waits.values()) if check is not None else []
 
 
 @shows_fault("gang-tickets-not-renewed")
--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -2,8 +2,9 @@
 
 from dewspindle._internal.models.resources import Amounts
 from features.lib.stepping import MAX_STRIDE_S
+from features.lib.wait_check import MAX_WAIT_S
 from features.lib.waiting_load import RandomLoad
-from features.lib.waiting_steps import CAPACITY, MAX_WAIT_S, Behavior, WaitingModel
+from features.lib.waiting_steps import CAPACITY, Behavior, WaitingModel
 
 HELPERS = 20
 
@@ -36,7 +37,7 @@
 
 @given("room on workers kept for gangs is not counted")
 def given_reserved_room_not_counted(context):
-    context.model.counts_reserved_room = False
+    context.model.check.counts_reserved_room = False
 
 
 @given("worker {number:d} is full for {seconds:g} seconds")
@@ -139,5 +140,5 @@
 @then("no step waits longer than {seconds:d} seconds while there is room for it twice over")
 def then_none_waits(context, seconds):
     assert seconds == MAX_WAIT_S
-    waits = list(context.model.long_waits.values())
+    waits = list(context.model.check.long_waits.values())
     assert not waits, "\n".join(["", *map(str, waits)])
