Add failing tests: replicas end or lead without entries after disks were full in turn

A stalled disk operation is no longer cancelled with its caller, and a request is handled to its end when its caller gives up, as with the threads and the peer server of a real replica.

This is what the operators describe.

--- a/features/lib/network.py
+++ b/features/lib/network.py
@@ -1,6 +1,7 @@
 """In-memory network between replicas that can drop, duplicate and delay messages."""
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 import anyio
@@ -16,10 +17,16 @@
 LATENCY_S = 0.002  # In each direction.
 REQUEST_TIMEOUT_S = 2.0
 
-Handler = Callable[[Any], Awaitable[Message]]
+Handler = Callable[[Any], Coroutine[Any, Any, Message]]
 RequestHook = Callable[[str, str, Message], None]  # Source address, method and request.
 
 
+def _retrieve_error(task: asyncio.Task[Message]) -> None:
+    """Mark the error of a request that its caller has given up as retrieved."""
+    if not task.cancelled():
+        task.exception()
+
+
 class FakeNetwork:
     """Delivers requests between nodes by address, with the faults that are set."""
 
@@ -104,7 +111,10 @@
             raise PeerUnreachableError(f"no handler of {method} at {target}")
         copy = type(request).FromString(request.SerializeToString())
         try:
-            return (await handler(copy)).SerializeToString()
+            # As in the peer server, a request that the caller gives up is still handled.
+            task = asyncio.ensure_future(handler(copy))
+            task.add_done_callback(_retrieve_error)
+            return (await asyncio.shield(task)).SerializeToString()
         except DewspindleError as error:
             raise PeerUnreachableError(str(error)) from None
         except anyio.get_cancelled_exc_class():
--- a/features/lib/replicas.py
+++ b/features/lib/replicas.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 
 from dewspindle._internal.cell import appliers  # noqa: F401
 from dewspindle._internal.cell.view import CellView
@@ -14,6 +15,7 @@
 from dewspindle._internal.models.enums import Role
 from dewspindle._internal.replication.formation import Formation
 from dewspindle._internal.replication.replica import Replica, load_context
+from dewspindle._internal.replication.transport import PeerUnreachableError
 from dewspindle._internal.routing.directory import BackendDirectory
 from dewspindle._internal.schema import cell_pb2, peers_pb2
 from dewspindle._internal.settings.loading import load_settings
@@ -42,6 +44,7 @@
         self.folder_number = 0  # Number of times that the data folder was replaced by an empty one.
         self._flags = flags
         self._scope: anyio.CancelScope | None = None
+        self._disk_waits: set[anyio.CancelScope] = set()
         self._highest_revision = 0  # Since the last start, as a replica applies its log anew.
         self._highest_fresh_revision = 0  # Over all starts, as only a fresh view is served.
 
@@ -63,9 +66,25 @@
 
     async def _offload(self, call: Callable[..., Any], *args: Any) -> Any:
         if self.disk.delay_s:
-            await self.timers.sleep(self.disk.delay_s)
+            await self._wait_for_disk(self.disk.delay_s)
         return call(*args)
 
+    async def _wait_for_disk(self, seconds: float) -> None:
+        """Wait as a thread does, which only the end of the process interrupts."""
+        scope = anyio.CancelScope(shield=True)
+        self._disk_waits.add(scope)
+        with scope:
+            await self.timers.sleep(seconds)
+        self._disk_waits.discard(scope)
+        if scope.cancelled_caught:
+            await anyio.lowlevel.checkpoint()
+            raise PeerUnreachableError("the process has ended")
+
+    def stop_disk_waits(self) -> None:
+        """Interrupt the threads that wait for the disk, as the process ends."""
+        for scope in self._disk_waits:
+            scope.cancel()
+
     def start(self) -> None:
         # A process that ended by an error, not by `kill`, still has unsynced writes.
         self.disk.crash()
@@ -153,6 +172,7 @@
         """End the process without a shutdown, and discard the writes that are not synced."""
         if self._scope is not None:
             self._scope.cancel()
+        self.stop_disk_waits()
         self._stop_serving()
         self.disk.crash()
 
@@ -213,6 +233,7 @@
         for node in self.nodes:
             if node.timers.is_paused:
                 node.timers.resume()
+            node.stop_disk_waits()
         self._stop.set()
 
     def start_soon(self, run: Callable[..., Any], *args: Any) -> None:
@@ -298,9 +319,7 @@
         """Remove all faults and start the nodes that are down."""
         self.network.heal()
         for node in self.nodes:
-            node.disk.is_full = False
-            node.disk.fails_sync = False
-            node.disk.delay_s = 0.0
+            node.disk.free()
             if node.timers.is_paused:
                 node.timers.resume()
             if not node.is_up:
--- a/features/replication_faults.feature
+++ b/features/replication_faults.feature
@@ -206,3 +206,49 @@
       | 8    |
       | 9    |
       | 10   |
+
+  # Under steady changes, with elections, snapshots, ends of segments and membership changes meanwhile. Of the
+  # five or three disks, at most one is full at a time.
+  Scenario Outline: Changes are acknowledged after the disks of <size> replicas were full in turn and <kind>
+    Given <size> replicas whose disks <kind> while they are full, one after another
+    Then changes are acknowledged in time, none is lost and all replicas run on, for 3 seeds
+
+    Examples:
+      | size | kind                          |
+      | 3    | refuse creations and writes   |
+      | 5    | refuse creations and writes   |
+      | 3    | refuse writes                 |
+      | 5    | refuse writes                 |
+      | 3    | have room for small files     |
+      | 5    | have room for small files     |
+      | 3    | refuse syncs                  |
+      | 5    | refuse syncs                  |
+      | 3    | refuse writes and truncations |
+      | 5    | refuse writes and truncations |
+      | 3    | refuse every call             |
+      | 5    | refuse every call             |
+
+  # The next leader would count an entry as committed that this replica does not have.
+  Scenario: An append that waits while a full disk refuses earlier entries is not answered as stored
+    Given a cell of 3 replicas with a leader and 5 changes
+    When the leader's disk stalls and is full, and meanwhile it gets an entry of the next leader
+    Then it does not answer that it has stored an entry that it has dropped
+    And after recovery no acknowledged change is lost, applied twice or rolled back
+
+  # It would lead on without its first entry, so that it neither acts as the leader nor is replaced.
+  Scenario: A replica that is elected while a full disk refuses its entries does not lead without them
+    Given a cell of 3 replicas with a leader and 25 changes
+    When a follower's disk stalls and is full, and meanwhile it becomes the leader
+    Then 5 changes are acknowledged within 5 seconds after its disk has room again
+    And after recovery no acknowledged change is lost, applied twice or rolled back
+
+  Scenario Outline: A replica runs on that cannot store a newer term for want of space, <case>
+    Given a cell of 3 replicas with a leader and 5 changes
+    When <case>
+    Then 5 changes are acknowledged within 5 seconds after its disk has room again
+    And after recovery no acknowledged change is lost, applied twice or rolled back
+
+    Examples:
+      | case                                                                                       |
+      | a follower's disk is full while the leadership is transferred twice                        |
+      | the leader's disk is full while it transfers the leadership and no vote request reaches it |
