Keep a replica running that cannot store its metadata for want of space

Callers saw: a replica's process ended and came back while its disk was full, so that a full disk of one replica could cost the leader, and a learner that joined never got beyond its start.

Cause: a newer term is saved by whoever learns of it. As a candidate and as a leader that happens in a task of a task group, so the DiskFullError reached `Replica._run_elections` as an ExceptionGroup, which it does not catch. `Formation.run` catches none at all.

Change: tasks that learn of a newer term step down and adopt the term only if there is space (`leave_term`); a replica that has to store the term before it answers still refuses the request. Each refused save of the metadata marks the disk as full, so the replica stands for election only after the next probe. `Formation.run` tries again.

Why it works: a leader that steps down ends its leadership also without the newer term, and a candidate without votes waits. Neither has promised anything in a term that it has not stored.

--- a/features/replication_faults.feature
+++ b/features/replication_faults.feature
@@ -242,7 +242,7 @@
     Then 5 changes are acknowledged within 5 seconds after its disk has room again
     And after recovery no acknowledged change is lost, applied twice or rolled back
 
-  Scenario Outline: A replica runs on that cannot store a newer term for want of space, <case>
+  Scenario Outline: A replica runs on that cannot store its metadata for want of space, <case>
     Given a cell of 3 replicas with a leader and 5 changes
     When <case>
     Then 5 changes are acknowledged within 5 seconds after its disk has room again
@@ -252,3 +252,4 @@
       | case                                                                                       |
       | a follower's disk is full while the leadership is transferred twice                        |
       | the leader's disk is full while it transfers the leadership and no vote request reaches it |
+      | a new replica's disk is full while it joins                                                |
--- a/features/steps/full_disk_steps.py
+++ b/features/steps/full_disk_steps.py
@@ -306,3 +306,16 @@
         cell.network.heal()
 
     context.run(transfer())
+
+
+@when("a new replica's disk is full while it joins")
+def when_joins(context):
+    cell = context.cell
+
+    async def join():
+        context.node = cell.add_node()
+        context.node.start()
+        context.node.disk.is_full = True
+        await cell.clock.advance(FULL_S)
+
+    context.run(join())
--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -1,6 +1,6 @@
 """Signs of the faults that KNOWN-RED.txt lists."""
 
-from dewspindle._internal.exceptions import DiskFullError, SyncFailedError
+from dewspindle._internal.exceptions import SyncFailedError
 from features.lib.known_faults import shows_fault
 
 SLOTS_SCENARIO = "Calls in flight from three instances together never exceed the slots"
@@ -32,12 +32,6 @@
     return "full" in context.scenario.name or "for want of space" in context.scenario.name
 
 
-@shows_fault("full-disk-ends-replica")
-def shows_ended_replica(context, events):
-    """Return whether a replica ended as it could not store a newer term."""
-    return is_about_full_disks(context) and has_ended_by(context, DiskFullError)
-
-
 @shows_fault("full-sync-ends-replica")
 def shows_full_sync(context, events):
     """Return whether a replica ended by a sync or a truncation on a full disk."""
--- a/src/dewspindle/_internal/replication/context.py
+++ b/src/dewspindle/_internal/replication/context.py
@@ -9,9 +9,10 @@
 import anyio
 
 from ..cell.view import CellView
-from ..exceptions import SyncFailedError
+from ..exceptions import DiskFullError, SyncFailedError
 from ..models.enums import Role
 from ..schema import cell_pb2, peers_pb2, settings_pb2, storage_pb2
+from ..utils.logs import get_logger
 from ..utils.timers import Signal, TimerService
 from .log import Log, Offload
 from .metadata import MetadataStore
@@ -20,6 +21,8 @@
 
 T = TypeVar("T")
 
+logger = get_logger(__name__)
+
 
 @dataclass(slots=True)
 class ReplicaContext:
@@ -47,8 +50,8 @@
     metadata_lock: anyio.Lock = field(default_factory=anyio.Lock)
     failure: Exception | None = None
     failed: anyio.Event = field(default_factory=anyio.Event)
-    # Set by a leader or candidate whose write found no space. Until a write succeeds, the replica
-    # does not stand for election, except at the leader's request.
+    # Set by a leader whose entries, or a replica whose metadata found no space. Until a write
+    # succeeds, the replica does not stand for election, except at the leader's request.
     is_disk_full: bool = False
     # A replica that restarted as a member has neither heard from a leader nor voted since.
     awaits_leader: bool = False
@@ -146,7 +149,11 @@
 
     async def save_metadata(self, changed: storage_pb2.ReplicaMetadata) -> None:
         """Sync changed metadata, then apply it; the caller holds the metadata lock."""
-        await self.run_disk_operation(lambda: self.metadata_store.save(changed))
+        try:
+            await self.run_disk_operation(lambda: self.metadata_store.save(changed))
+        except DiskFullError:
+            self.is_disk_full = True
+            raise
         self.metadata = changed
 
     async def save_term(self, term: int, *, voted_for: str) -> None:
@@ -165,6 +172,13 @@
             self.step_down()
             await self.save_term(term, voted_for="")
 
+    async def leave_term(self, newer_term: int) -> None:
+        """Step down, and adopt a newer term that a peer answered, if the disk has space for it."""
+        try:
+            await self.observe_term(newer_term)
+        except DiskFullError as error:
+            logger.error("disk full; newer term not stored", term=newer_term, error=str(error))
+
     def step_down(self) -> None:
         """Become a follower."""
         self.role = Role.FOLLOWER
--- a/src/dewspindle/_internal/replication/election.py
+++ b/src/dewspindle/_internal/replication/election.py
@@ -114,7 +114,7 @@
             tally.count(granted=False)
             return
         if answer.term > max(self._context.term, request.term):
-            await self._context.observe_term(answer.term)
+            await self._context.leave_term(answer.term)
         tally.count(granted=answer.granted)
 
 
--- a/src/dewspindle/_internal/replication/formation.py
+++ b/src/dewspindle/_internal/replication/formation.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from ..exceptions import NotLeaderError
+from ..exceptions import DiskFullError, NotLeaderError
 from ..models.enums import Role
 from ..schema import cell_pb2, peers_pb2, storage_pb2
 from ..settings.loading import Peer, parse_peers
@@ -49,7 +49,10 @@
         """Form or join a cell; return once this replica belongs to one."""
         while not self._joined.is_set():
             answers = await self._query_peers()
-            await self._join_or_form(answers)
+            try:
+                await self._join_or_form(answers)
+            except DiskFullError as error:
+                logger.error("disk full; cannot become a member", error=str(error))
             if not self._joined.is_set():
                 await self._context.timers.sleep(RETRY_DELAY_S)
 
--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -180,7 +180,7 @@
     async def _accept_term(self, term: int, *, sent_at: float) -> bool:
         """Record that the peer answered, or step down and return False if its term is newer."""
         if term > self._term:
-            await self._context.observe_term(term)
+            await self._context.leave_term(term)
             return False
         self._record_reachable()
         self._confirmed_at = max(self._confirmed_at, sent_at)
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -158,7 +158,6 @@
                 term = await self._election.campaign(reason)
             except DiskFullError as error:
                 logger.error("disk full; cannot stand for election", error=str(error))
-                self._context.is_disk_full = True
                 continue
             if term is not None:
                 await self._lead(term)
