Let every task that waits for the log learn that a full disk dropped entries

Cause: a flush that found no space raised in one task, and that task dropped all entries in memory that were not synced, also those that other tasks had added and waited to flush. Their flush then found nothing to write and returned as if it had succeeded. So a follower that was elected while its write to the log stalled lost its first entry and led on; a deposed leader answered the next leader's append as stored (up to 8, synced up to 6), which the next leader counts for a commit; and a candidate could win with entries that it no longer had.

Change: the flush drops the entries itself, under the lock of the log. Every flush or truncation that waited meanwhile raises DiskFullError. The replica becomes a follower in the same step, whichever task wrote, and does not stand before the next probe of its disk. A link sends nothing once its term is over.

Evidence: "An append that waits while a full disk refuses earlier entries is not answered as stored" and "A replica that is elected while a full disk refuses its entries does not lead without them" failed before and pass.

Why it works: the entries in memory beyond the synced ones change only under the lock or by the task that adds to the end, and a task that added some and waits for the lock is told if they are gone.

--- a/features/steps/known_fault_steps.py
+++ b/features/steps/known_fault_steps.py
@@ -36,11 +36,3 @@
 def shows_full_sync(context, events):
     """Return whether a replica ended by a sync or a truncation on a full disk."""
     return is_about_full_disks(context) and has_ended_by(context, OSError, SyncFailedError)
-
-
-@shows_fault("dropped-entries-counted")
-def shows_counted_entries(context, events):
-    """Return whether entries that a full disk refused count as stored, or are led without."""
-    names = ("is not answered as stored", "does not lead without them")
-    is_guard = any(name in context.scenario.name for name in names)
-    return is_guard or (is_about_full_disks(context) and has_ended_by(context, AssertionError))
--- a/src/dewspindle/_internal/replication/context.py
+++ b/src/dewspindle/_internal/replication/context.py
@@ -50,8 +50,8 @@
     metadata_lock: anyio.Lock = field(default_factory=anyio.Lock)
     failure: Exception | None = None
     failed: anyio.Event = field(default_factory=anyio.Event)
-    # Set by a leader whose entries, or a replica whose metadata found no space. Until a write
-    # succeeds, the replica does not stand for election, except at the leader's request.
+    # Set when entries or the metadata found no space. Until a write succeeds, the replica does not
+    # stand for election, except at the leader's request.
     is_disk_full: bool = False
     # A replica that restarted as a member has neither heard from a leader nor voted since.
     awaits_leader: bool = False
@@ -103,6 +103,10 @@
         """Return the term and index of the last entry of the log."""
         return self.log.last_term, self.log.last_index
 
+    def leads(self, term: int) -> bool:
+        """Return whether this replica is the leader of a term, and has not stepped down."""
+        return self.role is Role.LEADER and self.term == term
+
     def make_hello_request(self) -> peers_pb2.HelloRequest:
         """Return a query of another instance, with the identity of this replica."""
         return peers_pb2.HelloRequest(
@@ -140,9 +144,18 @@
             raise
 
     async def flush_log(self) -> None:
-        """Make all entries durable; stop the replica if a sync fails."""
+        """Make all entries durable; stop the replica if a sync fails.
+
+        A full disk drops the entries that are not durable. Those of the leader may be among them,
+        whichever task wrote them, and a candidate has been voted for with them. The replica
+        therefore becomes a follower before any other task runs.
+        """
         try:
             await self.log.flush()
+        except DiskFullError:
+            self.is_disk_full = True
+            self.step_down()
+            raise
         except SyncFailedError as error:
             self.fail(error)
             raise
--- a/src/dewspindle/_internal/replication/handlers.py
+++ b/src/dewspindle/_internal/replication/handlers.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from ..exceptions import DiskFullError, NotLeaderError
+from ..exceptions import NotLeaderError
 from ..models.enums import Role
 from ..schema import cell_pb2, peers_pb2
 from ..utils.logs import get_logger
@@ -166,11 +166,7 @@
         for entry in entries:
             if entry.index > context.log.last_index:
                 context.log.add(entry)
-        try:
-            await context.flush_log()
-        except DiskFullError:
-            context.log.drop_unsynced()
-            raise
+        await context.flush_log()
         return request.previous_index + len(request.entries)
 
     def _advance_commit(self, request: peers_pb2.AppendRequest, stored: int) -> None:
--- a/src/dewspindle/_internal/replication/leadership.py
+++ b/src/dewspindle/_internal/replication/leadership.py
@@ -5,7 +5,6 @@
 from anyio.abc import TaskGroup
 
 from ..exceptions import DiskFullError, NotLeaderError
-from ..models.enums import Role
 from ..models.ids import ReplicaId
 from ..schema import cell_pb2, peers_pb2
 from ..utils.logs import get_logger
@@ -71,7 +70,7 @@
     @property
     def is_leading(self) -> bool:
         """Return whether this replica still leads in this term."""
-        return self._context.role is Role.LEADER and self._context.term == self._term
+        return self._context.leads(self._term)
 
     @property
     def quorum_confirmed_at(self) -> float:
@@ -184,7 +183,7 @@
             try:
                 await context.flush_log()
             except DiskFullError as error:
-                self._step_down_on_full_disk(error)
+                logger.error("disk full; stepping down", error=str(error))
                 return
             finally:
                 self._flush_started_at = None
@@ -203,12 +202,6 @@
                 await self.transfer_leadership()
                 return
 
-    def _step_down_on_full_disk(self, error: DiskFullError) -> None:
-        logger.error("disk full; stepping down", error=str(error))
-        self._context.log.drop_unsynced()
-        self._context.is_disk_full = True
-        self._context.step_down()
-
     def _advance_commit(self) -> None:
         context = self._context
         matches = [self._get_match_index(voter) for voter in context.membership.voters]
--- a/src/dewspindle/_internal/replication/log.py
+++ b/src/dewspindle/_internal/replication/log.py
@@ -1,13 +1,14 @@
 """The replicated log, held in memory and flushed to its store by group commit."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
 import anyio
 import anyio.to_thread
 
-from ..exceptions import CorruptLogError
+from ..exceptions import CorruptLogError, DiskFullError
 from ..schema import cell_pb2, peers_pb2
 from .disk import Disk
 from .log_store import LogStore
@@ -53,6 +54,7 @@
         self._base_index = 0
         self._base_term = 0
         self._durable_index = 0
+        self._dropped_batches = 0  # For which a full disk had no space.
         self._memberships: list[tuple[int, cell_pb2.Membership]] = []
         self._snapshot: StoredSnapshot | None = None
 
@@ -182,26 +184,40 @@
         self._entries.append(entry)
         self._record_membership(entry)
 
-    async def flush(self) -> None:
-        """Write and sync all entries that are not durable yet, in one batch."""
+    @asynccontextmanager
+    async def _lock_end(self) -> AsyncIterator[None]:
+        """Hold the lock; raise `DiskFullError` if entries were dropped while waiting for it."""
+        dropped_batches = self._dropped_batches
         async with self._lock:
+            if self._dropped_batches != dropped_batches:
+                raise DiskFullError("entries were dropped, as the data disk had no space for them")
+            yield
+
+    async def flush(self) -> None:
+        """Write and sync all entries that are not durable yet, in one batch.
+
+        A full disk drops them all. Each call that waits for one of them then raises
+        `DiskFullError`.
+        """
+        async with self._lock_end():
             start = self._durable_index
             batch = self._entries[start - self._base_index :]
             if not batch:
                 return
-            await self._offload(self._store.append, batch)
+            try:
+                await self._offload(self._store.append, batch)
+            except DiskFullError:
+                self._dropped_batches += 1
+                self._drop_from(start + 1)
+                raise
             self._durable_index = start + len(batch)
 
     async def truncate_from(self, index: int) -> None:
         """Remove the entry at an index and all entries after it."""
-        async with self._lock:
+        async with self._lock_end():
             await self._offload(self._store.truncate_from, index)
             self._drop_from(index)
 
-    def drop_unsynced(self) -> None:
-        """Remove the entries that could not be made durable, from memory."""
-        self._drop_from(self._durable_index + 1)
-
     def _drop_from(self, index: int) -> None:
         del self._entries[index - self._base_index - 1 :]
         self._durable_index = min(self._durable_index, index - 1)
--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -62,9 +62,10 @@
         self._quorum_confirmed_at = at
 
     async def run(self) -> None:
-        """Send entries and heartbeats until cancelled."""
+        """Send entries and heartbeats until this replica leads no longer, or cancelled."""
         context = self._context
-        while True:
+        # A leader that steps down may have dropped entries that were sent already.
+        while context.leads(self._term):
             try:
                 behind = await self._exchange()
             except PeerUnreachableError as error:
