Report a full disk at every call on the data folder, and finish refused removals before the next append

Callers saw: a replica whose disk refused a sync, a folder sync or a truncation for want of space ended, once for each attempt until there was room, and so did a leader whose refused batch could not be cut from the file.

Cause: only file creations and writes told a full disk from a broken one. ENOSPC at a sync counted as a failed sync, which ends the process, and at a truncation, rename or removal it left the storage as a plain OSError, with the segments in memory and on disk not in step: a segment whose folder sync failed stayed in use without it, and a removal that stopped halfway left entries in memory as synced whose file was gone.

Change: each call of `Disk` raises DiskFullError for want of space. The log's removals change the segments in memory at once; what the disk refuses of them is done before the next append, which is refused until then. So a torn or refused batch is never followed by entries of another one. A segment is used once its folder has been synced. A torn tail found at start is cut in the same way, so that a replica starts while its disk is full.

Ruled out: losing entries that were synced earlier, as a sync that fails for want of space concerns the last batch only, which is written again. Other errors of the disk still end the process.

Why it works: entries count as synced only after a sync that succeeded, and bytes beyond the last synced batch are gone before others are written there.

--- a/features/lib/disk.py
+++ b/features/lib/disk.py
@@ -90,6 +90,12 @@
                 super().truncate(descriptor, length)
         super().truncate(descriptor, length)
 
+    def remove(self, path: Path) -> None:
+        if self._refuses("remove"):
+            with run_out_of_space("unlink"):
+                super().remove(path)
+        super().remove(path)
+
     def sync_folder(self, path: Path) -> None:
         if self.fails_sync:
             raise SyncFailedError("a sync failed")
--- a/features/steps/full_disk_steps.py
+++ b/features/steps/full_disk_steps.py
@@ -24,7 +24,7 @@
 # What a full disk refuses, and the size of a write that still fits.
 KINDS = {
     "refuse creations and writes": ({"create", "write"}, 0),
-    "refuse every call": ({"create", "write", "truncate", "sync", "sync folder"}, 0),
+    "refuse every call": ({"create", "write", "truncate", "sync", "sync folder", "remove"}, 0),
     "refuse writes": ({"write"}, 0),
     "have room for small files": ({"write"}, SMALL_FILE_BYTES),
     "refuse syncs": ({"sync", "sync folder"}, 0),
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -214,11 +214,58 @@
     store.close()
 
 
-@when("a file is replaced and its creation fails with {name}")
-def when_creation_fails(context, name):
+def open_full_store(context, refused, *, segment_bytes=500):
+    """Open the log on a disk that is full and refuses some operations."""
+    disk = FaultyDisk()
+    store = open_store(context, disk)
+    store.load()
+    store._segment_bytes = segment_bytes
+    disk.refused = frozenset(refused.split(", "))
+    disk.is_full = True
+    return store, disk
+
+
+@when("the disk refuses {refused} for an append of 3 entries, then takes 1 entry of a later term")
+def when_refused(context, refused):
+    # The next append begins a segment, which needs the folder to be synced.
+    segment_bytes = 1 if "folder" in refused else 500
+    store, disk = open_full_store(context, refused, segment_bytes=segment_bytes)
+    entry, *others = make_entries(31, 3)
+    try:
+        store.append([entry, *others])
+    except DiskFullError:
+        disk.free()
+        entry.term = 2
+        store.append([entry])
+        store.close()
+        return
+    raise AssertionError("the full disk was not reported")
+
+
+@when("the disk refuses {refused} while entries from {index:d} on are removed, then takes that one")
+def when_removal_refused(context, refused, index):
+    store, disk = open_full_store(context, refused)
+    store.truncate_from(index)
+    try:
+        store.append(make_entries(index, 1))
+    except DiskFullError:
+        disk.free()
+        store.append(make_entries(index, 1))
+        store.close()
+        return
+    raise AssertionError("an entry was stored before those that were removed")
+
+
+@then("the last entry is of term {term:d}")
+def then_last_term(context, term):
+    assert open_store(context).load()[-1].term == term
+
+
+@when("a file is replaced and {call} fails with {name}")
+def when_creation_fails(context, call, name):
     failure = OSError(getattr(errno, name), name)
     try:
-        with mock.patch("os.open", side_effect=failure):
+        with mock.patch(f"os.{call}", side_effect=failure):
             Disk().replace_file(context.folder / "file", b"data")
     except Exception as error:
         context.exception = type(error).__name__
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -48,16 +48,47 @@
     When the disk is full for two appends that begin a segment, and has space for the third
     Then the log loads 33 entries
 
+  # What a refused batch left in the file must not be read after a shorter one that took its place.
+  Scenario Outline: A batch of which a full disk refused to <refused> leaves nothing behind later entries
+    Given a log of 10 batches of 3 entries
+    When the disk refuses <refused> for an append of 3 entries, then takes 1 entry of a later term
+    Then the log loads 31 entries
+    And the last entry is of term 2
+
+    Examples:
+      | refused         |
+      | write           |
+      | write, truncate |
+      | sync            |
+      | sync, truncate  |
+      | sync folder     |
+
+  Scenario Outline: Entries that a full disk refused to <refused> are removed before later ones are stored
+    Given a log of 10 batches of 3 entries
+    When the disk refuses <refused> while entries from 20 on are removed, then takes that one
+    Then the log loads 20 entries
+
+    Examples:
+      | refused     |
+      | remove      |
+      | sync folder |
+      | truncate    |
+
   # A replica keeps running without disk space, but not after other errors of its disk.
-  Scenario Outline: A file creation that fails with <error> raises <exception>
-    When a file is replaced and its creation fails with <error>
+  Scenario Outline: A file whose <call> fails with <error> is not replaced, and <exception> is raised
+    When a file is replaced and <call> fails with <error>
     Then the error raised is <exception>
 
     Examples:
-      | error  | exception       |
-      | ENOSPC | DiskFullError   |
-      | EDQUOT | DiskFullError   |
-      | EACCES | PermissionError |
+      | call      | error  | exception       |
+      | open      | ENOSPC | DiskFullError   |
+      | open      | EDQUOT | DiskFullError   |
+      | open      | EACCES | PermissionError |
+      | pwrite    | ENOSPC | DiskFullError   |
+      | pwrite    | EIO    | SyncFailedError |
+      | fdatasync | ENOSPC | DiskFullError   |
+      | fdatasync | EIO    | SyncFailedError |
+      | rename    | ENOSPC | DiskFullError   |
 
   # Guards against a change that is acknowledged and lost, or applied twice, after several faults in a row.
   Scenario: Random histories of changes and faults are linearizable
--- a/src/dewspindle/_internal/replication/snapshots.py
+++ b/src/dewspindle/_internal/replication/snapshots.py
@@ -51,5 +51,5 @@
         path = self._folder / f"{snapshot.index:020d}-{snapshot.term}{SNAPSHOT_SUFFIX}"
         self._disk.replace_file(path, add_checksum(snapshot.data))
         for old in self._list_newest_first()[KEPT_SNAPSHOTS:]:
-            old.unlink()
+            self._disk.remove(old)
         self._disk.sync_folder(self._folder)
