--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -62,9 +62,10 @@
         self._quorum_confirmed_at = at
 
     async def run(self) -> None:
-        """Send entries and heartbeats until cancelled."""
+        """Send entries and heartbeats until this replica leads no longer, or cancelled."""
         context = self._context
-        while True:
+        # A leader that steps down may have dropped entries that were sent already.
+        while context.leads(self._term):
             try:
                 behind = await self._exchange()
             except PeerUnreachableError as error:
@@ -180,7 +181,7 @@
     async def _accept_term(self, term: int, *, sent_at: float) -> bool:
         """Record that the peer answered, or step down and return False if its term is newer."""
         if term > self._term:
-            await self._context.observe_term(term)
+            await self._context.leave_term(term)
             return False
         self._record_reachable()
         self._confirmed_at = max(self._confirmed_at, sent_at)
