--- a/features/advice.feature
+++ b/features/advice.feature
@@ -87,3 +87,9 @@
     And a job of 4 tasks that each need the full capacity of a worker
     When the cell runs for 1 seconds
     Then 4 tasks of the job are running
+
+  Scenario: The longest waiting request is served although all calls begin and end together
+    Given 4 replicas and 0 entry instances that query an advisor that takes 0.6 seconds
+    And 1 call has been made
+    When a step requests advice once while those of higher rank do again and again for 20 s
+    Then the step has received advice
--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -105,6 +105,7 @@
         self.fleet = Fleet()
         self.behaviors: dict[JobId, Behavior] = {}
         self.callers_send = True
+        self.is_gang_advisor_lost = False
         self.replicas = [f"10.0.0.{number + 2}:7000" for number in range(4)]
         self.registry = HelperRegistry(
             own_address=LEADER, list_replicas=lambda: self.replicas, timers=self.timers
@@ -249,7 +250,9 @@
         call_s = (advisor.decision_ms + advisor.per_worker_ms * len(request.workers)) / 1000
         limit_s = request.timeout_ms / 1000
         entry = self.entry_instances.get(helper)
+        is_gang = self.store.jobs[key[0]].message.spec.steps[key[2]].gang
         is_unanswered = call_s > limit_s or (entry is not None and entry.is_lost)
+        is_unanswered = is_unanswered or (is_gang and self.is_gang_advisor_lost)
         await self.timers.sleep(limit_s if is_unanswered else call_s)
         if is_unanswered:
             raise PeerUnreachableError(helper)
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -234,3 +234,50 @@
 @then("no worker is listed")
 def then_none_listed(context):
     assert context.listed == [], context.listed
+
+
+RANKED_STEPS = 12  # More than calls at a time.
+
+
+def request_by_rank(client, job, rank):
+    key = (JobId(job), 0, 0)
+    if not client.get(key).is_pending:
+        client.ask(AdviceRequest(key=key, queue="q", workers=["w"], expected_s=0.6, rank=(rank,)))
+    return client.get(key)
+
+
+@given("{count:d} call has been made")
+def given_calls(context, count):
+    context.run(make_calls(context.harness, count))
+
+
+async def make_calls(harness, count):
+    async with anyio.create_task_group() as group:
+        harness.client.start(group)
+        for number in range(count):
+            request_by_rank(harness.client, f"before{number}", 0)
+        harness.client.dispatch()
+        for _ in range(20):
+            await harness.clock.advance(0.05)
+
+
+@when("a step requests advice once while those of higher rank do again and again for {seconds:d} s")
+def when_requested_by_rank(context, seconds):
+    context.run(request_again(context.harness, seconds))
+
+
+async def request_again(harness, seconds):
+    async with anyio.create_task_group() as group:
+        harness.client.start(group)
+        harness.low_advice = request_by_rank(harness.client, "low", 9)
+        for _ in range(seconds * 20):
+            for number in range(RANKED_STEPS):
+                request_by_rank(harness.client, f"high{number}", 1)
+            harness.client.dispatch()
+            await harness.clock.advance(0.05)
+        group.cancel_scope.cancel()
+
+
+@then("the step has received advice")
+def then_step_advised(context):
+    assert not context.harness.low_advice.is_pending
--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -123,6 +123,69 @@
     context.model.after(second, context.model.lose_helpers, HELPERS)
 
 
+@given(
+    "workers {first:d} to {last:d} have {cores:d} cores and {memory:d} GB left "
+    "for {seconds:d} seconds"
+)
+def given_partly_full(context, first, last, cores, memory, seconds):
+    left = Amounts(processors=cores * 1000, memory_mb=memory * 1024)
+    for worker_id in sorted(list_ids(first, last)):
+        context.model.occupy(worker_id, CAPACITY - left, seconds)
+
+
+@given("{gangs:d} urgent gangs of {count:d} tasks of {cores:d} cores and {memory:d} GB")
+def given_urgent_gangs_anywhere(context, gangs, count, cores, memory):
+    for _ in range(gangs):
+        context.model.submit(
+            count=count,
+            amounts=Amounts(processors=cores * 1000, memory_mb=memory * 1024),
+            behavior=Behavior(run_s=4.0),
+            gang=True,
+            queue=("usual", 0, "pool"),
+        )
+
+
+@given("a task of {cores:d} cores and {memory:d} GB that asks a slow advisor")
+def given_small_task(context, cores, memory):
+    context.model.submit(
+        count=1,
+        amounts=Amounts(processors=cores * 1000, memory_mb=memory * 1024),
+        behavior=Behavior(run_s=4.0),
+        gang=False,
+        queue=("slow", 1, "pool"),
+    )
+
+
+@given("the advisor of gangs answers nothing from second {second:d} on")
+def given_silent_advisor(context, second):
+    context.model.after(second, setattr, context.model, "is_gang_advisor_lost", True)
+
+
+@given("a task of 2 cores that needs no advice and becomes ready at second {second:d}")
+def given_task_without_advisor(context, second):
+    context.model.after(
+        second,
+        lambda: context.model.submit(
+            count=1,
+            amounts=Amounts(processors=2000),
+            behavior=Behavior(run_s=2.0),
+            gang=False,
+            queue=("none", 1, "pool"),
+        ),
+    )
+
+
+@then("no task waits for placement")
+def then_no_task_waits(context):
+    waiting = [
+        step.key
+        for run in context.model.runs
+        for step in run.steps.values()
+        if step.waiting and not step.message.gang
+    ]
+    assert not waiting, waiting
+
+
 @given("callers send nothing from second {second:d} on")
 def given_silent_callers(context, second):
     context.model.after(second, context.model.silence_callers)
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -120,3 +120,28 @@
       | 5    |
       | 13   |
       | 14   |
+
+  Scenario: A task starts although gangs of higher rank wait for more memory than is free
+    Given a leader that plans steps on 40 workers of 32 cores
+    And workers 0 to 39 have 28 cores and 4 GB left for 30 seconds
+    And 4 urgent gangs of 1 tasks of 1 cores and 100 GB
+    And a task of 2 cores and 1 GB that asks a slow advisor
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A task starts although no worker has room for the gangs of higher rank
+    Given a leader that plans steps on 60 workers of 32 cores
+    And workers 0 to 59 have 14 cores and 64 GB left for 30 seconds
+    And 50 urgent gangs of 2 tasks of 18 cores and 4 GB
+    And a task of 2 cores and 1 GB that asks a slow advisor
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  Scenario: A task starts although a gang whose advisor does not answer fits on all workers
+    Given a leader that plans steps on 10 workers of 32 cores
+    And workers 0 to 9 are full for 4 seconds
+    And 1 urgent gangs of 10 tasks of 32 cores for workers 0 to 9
+    And the advisor of gangs answers nothing from second 2 on
+    And a task of 2 cores that needs no advice and becomes ready at second 5
+    When 12 seconds of planning pass
+    Then no task waits for placement
