Count calls by rank until the longest waiting request has its turn

A reviewer who had not seen the work found that the turn could be passed over for ever: the order was computed once for all calls made at the same time, while the count went on with each of them.

The next request is now chosen for each call, and the count starts again only when the longest waiting one is served. 'The longest waiting request is served although all calls begin and end together' failed before and passes.

--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -189,7 +189,7 @@
         self._penalized_until: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
-        self._calls_in_turn = 0  # Calls since the longest waiting request was last to go first.
+        self._calls_by_rank = 0  # Calls since the longest waiting request had its turn.
         self._helper_seconds: defaultdict[AdvicePurpose, float] = defaultdict(float)
 
     @property
@@ -197,6 +197,12 @@
         """Return the learnt odds that the advisor approves a worker."""
         return self._odds
 
+    @property
+    def has_spare_helper(self) -> bool:
+        """Return whether a helper is free and no request waits for one."""
+        busy = len(self._calls_in_flight)
+        return not self._waiting and busy < sum(1 for _ in self._list_helpers())
+
     def start(self, group: TaskGroup) -> None:
         """Use a task group for calls."""
         self._group = group
@@ -233,9 +239,11 @@
         helpers = list(self._list_helpers())
         self._penalized_until = {h: at for h, at in self._penalized_until.items() if at > now}
         free = {helper for helper in helpers if helper.address not in self._calls_in_flight}
-        for request in self._list_in_turn(now):
-            if not free:
-                return
+        candidates = sorted(self._waiting, key=lambda request: request.rank)
+        while free and candidates:
+            request = self._choose_next(candidates, now)
+            is_in_turn = request is not candidates[0]
+            candidates.remove(request)
             # Of several helpers, one is kept free of long calls.
             if request.is_long and 1 < len(helpers) <= sum(self._calls_in_flight.values()) + 1:
                 continue
@@ -249,21 +257,20 @@
             )
             free.remove(helper)
             self._waiting.remove(request)
-            self._calls_in_turn = (self._calls_in_turn + 1) % CALLS_PER_OLDEST
+            self._calls_by_rank = 0 if is_in_turn else self._calls_by_rank + 1
             self._calls_in_flight[helper.address] = request.is_long
             self._used_at[helper.address] = now
             self._group.start_soon(self._call_helper, helper.address, request)
 
-    def _list_in_turn(self, now: float) -> list[AdviceRequest]:
-        """Return the waiting requests in rank order, at times with the longest waiting one first.
+    def _choose_next(self, ranked: list[AdviceRequest], now: float) -> AdviceRequest:
+        """Return the request of highest rank or, in its turn, the one that has waited longest.
 
         Otherwise a request would wait as long as enough others of higher rank are made.
         """
-        ranked = sorted(self._waiting, key=lambda request: request.rank)
+        if self._calls_by_rank < CALLS_PER_OLDEST - 1:
+            return ranked[0]
         oldest = min(reversed(ranked), key=lambda request: request.asked_at)
-        if self._calls_in_turn or now - oldest.asked_at < OLD_REQUEST_S:
-            return ranked
-        return [oldest, *(request for request in ranked if request is not oldest)]
+        return ranked[0] if now - oldest.asked_at < OLD_REQUEST_S else oldest
 
     def take_load(self) -> dict[str, Any]:
         """Return figures on helpers and requests for the log, those on calls since the last time.
