Keep capacity for steps of higher rank only where requests need it

A gang keeps the workers that it fits on while no call for its tickets has failed; then it goes on renewing without them. Steps at their team's cap or in a retry delay do not ask.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -160,6 +160,11 @@
         self.odds = ApprovalOdds()
         self.calls = 0
 
+    @property
+    def has_spare_helper(self) -> bool:
+        """Return whether a helper is free and no request waits for one."""
+        return not self._waiting and self._busy < HELPERS
+
     def get(self, key: StepKey) -> StepAdvice:
         """Return the advice for a step, empty if there is none yet."""
         return self._steps.setdefault(key, StepAdvice())
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -26,8 +26,7 @@
 from .planning_round import PlanningRound
 from .runs import StepRun
 
-# Requests in one round. Steps of lower rank wait for free capacity anyway, so their tickets are
-# not kept valid.
+# Requests in one round, in rank order; the next round goes on.
 MAX_REQUESTS_PER_ROUND = 12
 # Tickets of workers set aside for a gang are renewed this long before the call that renews them
 # would have to begin.
@@ -47,44 +46,50 @@
     ) -> None:
         """Request advice on workers with capacity for single tasks.
 
-        A long call takes a helper from other steps. It is made only for capacity that is free or
-        expected to be by its answer, and that steps of higher rank leave.
+        A long call is made only for capacity that is free or expected to be by its answer. Where
+        helpers are short, it has to be left by the steps of higher rank.
         """
         advice = self._client.get(step.key)
-        if not self._may_ask(queue, advice, round_):
-            return
-        call_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
-        is_long = call_s > LONG_CALL_S
-        if is_long and not round_.may_claim(step, queue.pool):
+        if not self._may_ask(queue, advice, round_) or not self._may_call(step, queue, round_):
             return
+        horizon_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
+        if horizon_s <= LONG_CALL_S:
+            horizon_s = 0.0
+        fits = {
+            worker.id: count_fitting(
+                step.amounts, round_.get_expected_free(worker, within_s=horizon_s)
+            )
+            for worker in round_.get_usable(queue.pool).values()
+            if worker.id not in advice.refused
+            and not advice.has_ticket(worker.id, round_.now)
+            and step.accepts(worker.message.labels)
+            and round_.may_use(worker.id, step)
+        }
         if advice.is_pending:
-            round_.claim(step, queue.pool)
+            room = sum(fits.get(worker, 0) for worker in advice.pending)
+            round_.earmark(step, queue.pool, count=min(room, len(step.waiting)))
             return
-        fits = {}
-        for worker in round_.get_usable(queue.pool).values():
-            if (
-                worker.id in advice.refused
-                or advice.has_ticket(worker.id, round_.now)
-                or not step.accepts(worker.message.labels)
-                or not round_.may_use(worker.id, step)
-            ):
-                continue
-            fits[worker.id] = count_fitting(step.amounts, round_.get_free(worker))
-            if is_long and not fits[worker.id]:
-                expected = round_.get_expected_free(worker, within_s=call_s)
-                fits[worker.id] = count_fitting(step.amounts, expected)
         workers = choose_advice_candidates(
             fits,
             approved_before=advice.tickets.keys(),
             needed=len(step.waiting),
-            may_include_full=not is_long and not advice.list_valid(round_.now),
+            may_include_full=not horizon_s and not advice.list_valid(round_.now),
             decision_ms=queue.advisor.decision_ms,
             per_worker_ms=queue.advisor.per_worker_ms,
         )
-        if workers:
-            round_.claim(step, queue.pool)
+        room = sum(fits[worker] for worker in workers)
+        round_.earmark(step, queue.pool, count=min(room, len(step.waiting)))
         self._send(step, queue, round_, workers, AdvicePurpose.TASKS, rank=rank)
 
+    def _may_call(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> bool:
+        """Return whether a request for a step takes no helper that others need more."""
+        call_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
+        return (
+            call_s <= LONG_CALL_S
+            or self._client.has_spare_helper
+            or round_.may_earmark(step, queue.pool)
+        )
+
     def ask_for_gang(
         self,
         step: StepRun,
@@ -96,7 +101,7 @@
     ) -> None:
         """Request advice on further workers that have room for a gang, or leave it a choice."""
         advice = self._client.get(step.key)
-        if not self._may_ask(queue, advice, round_):
+        if not self._may_ask(queue, advice, round_) or not self._may_call(step, queue, round_):
             return
         usable = round_.get_usable(queue.pool)
         undecided = [
@@ -108,9 +113,8 @@
             and step.accepts(worker.message.labels)
             and step.amounts.fits_in(worker.capacity)
         ]
-        if not undecided or not round_.may_claim(step, queue.pool):
+        if not undecided:
             return
-        round_.claim(step, queue.pool)
         odds = self._client.odds.get(queue.name)
         pending = [usable[worker] for worker in advice.pending if worker in usable]
         room = count_gang_room(step, round_, approved)
@@ -128,6 +132,8 @@
             expected=expected,
             odds=odds,
         )
+        if workers:
+            round_.earmark(step, queue.pool, count=step.message.count)
         affordable = count_listed(queue.advisor)
         for listed in split_request(workers, affordable=affordable):
             self._send(step, queue, round_, listed, AdvicePurpose.GANG, rank=rank)
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -23,9 +23,9 @@
 from .suspect_placement import choose_for_suspect, has_suspect
 from .team_work import TeamWork
 
-# Gangs for which workers are drained at a time, in rank order.
-MAX_DRAINING_GANGS = 8
-MAX_DRAINING_FRACTION = 0.5  # Of the usable workers of a pool.
+# Gangs that do not fit yet and have workers set aside in one round, in rank order.
+MAX_WAITING_GANGS = 8
+MAX_SET_ASIDE_FRACTION = 0.5  # Of the usable workers of a pool, for such gangs.
 # Added to the score of a worker set aside, so that tasks of higher rank use others while they can.
 SET_ASIDE_PENALTY = 1.0
 
@@ -295,41 +295,57 @@
     ) -> None:
         """Set aside the workers on which a gang fits first, and keep their tickets valid.
 
-        A gang that fits already lacks only tickets. Limits hold for the others, whose workers stay
-        partly empty until enough of their tasks have ended.
+        A gang that fits already lacks only tickets, and keeps its workers for the call that brings
+        them. Limits hold for the others, whose workers stay partly empty until tasks end.
         """
         apart = [worker for worker in approved if not round_.is_set_aside(worker.id)]
         members = self._pack(step, unit, apart, round_)
         if members is not None:
-            chosen: GangWorkers | None = GangWorkers(frozenset(members), round_.now)
-        elif self._may_drain(step, queue, round_):
-            chosen = choose_earliest_workers(
-                step.amounts,
-                unit.unit.size,
-                [round_.make_outlook(worker) for worker in apart],
-                now=round_.now,
-                limit_per_worker=step.message.max_per_worker,
-            )
+            chosen = GangWorkers(frozenset(members), round_.now)
+            if not self._advice.get(step.key).failures:
+                round_.set_aside(step, chosen, pool=queue.pool)
         else:
-            chosen = None
-        if chosen is None:
-            return
-        if members is None and not round_.may_drain(
-            len(chosen.workers), pool=queue.pool, fraction=MAX_DRAINING_FRACTION
-        ):
-            return
-        round_.set_aside(step, chosen, pool=queue.pool)
+            found = self._find_early_workers(step, queue, unit, apart, round_)
+            if found is None:
+                return
+            chosen = found
+            round_.set_aside(step, chosen, pool=queue.pool)
         self._advice_planner.renew_for_gang(step, queue, round_, chosen, approved=apart, rank=rank)
 
     @staticmethod
-    def _may_drain(step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> bool:
-        """Return whether workers may be drained for another gang, as few as it fills."""
+    def _find_early_workers(
+        step: StepRun,
+        queue: jobs_pb2.Queue,
+        unit: UnitRun,
+        workers: list[FleetWorker],
+        round_: PlanningRound,
+    ) -> GangWorkers | None:
+        """Return the workers to keep for a gang until enough tasks on them have ended, if any."""
+
+        def may_keep(count: int) -> bool:
+            return round_.may_set_aside_early(
+                count, pool=queue.pool, fraction=MAX_SET_ASIDE_FRACTION
+            )
+
         largest = round_.get_largest_capacity(queue.pool)
-        return round_.draining_gangs < MAX_DRAINING_GANGS and round_.may_drain(
-            count_filled_workers(step, largest), pool=queue.pool, fraction=MAX_DRAINING_FRACTION
+        if round_.early_gang_count >= MAX_WAITING_GANGS:
+            return None
+        if not may_keep(count_filled_workers(step, largest)):
+            return None
+        chosen = choose_earliest_workers(
+            step.amounts,
+            unit.unit.size,
+            [round_.make_outlook(worker) for worker in workers],
+            now=round_.now,
+            limit_per_worker=step.message.max_per_worker,
         )
+        return chosen if chosen is not None and may_keep(len(chosen.workers)) else None
 
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
+        if all(unit.not_before > round_.now for unit in step.waiting.values()):
+            return
+        if not round_.check_cap(step.run.stored.team, step.amounts):
+            return
         rank = self._rank(step, round_.now)
         candidates = self._select_admitted(
             step, queue, self._list_approved(step, queue, round_), now=round_.now
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -17,10 +17,10 @@
 # A task past its expected end is expected to end within this fraction of its expected duration.
 OVERRUN_FRACTION = 0.25
 MIN_OVERRUN_S = 0.2  # Also for tasks without an estimate.
-CLAIM_HORIZON_S = 1.0  # A long call to the advisor takes about as long.
-# Steps that together need this many times the capacity that is expected to be free may request
-# advice at the same time, as the advisor approves only some of the workers that have it.
-CLAIM_FACTOR = 2
+EARMARK_HORIZON_S = 1.0  # A long call to the advisor takes about as long.
+# Multiple of the capacity expected to be free for which steps may request advice at the same time,
+# as the advisor approves only some of the workers that have it.
+EARMARK_FACTOR = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,16 +64,17 @@
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
-        self._claimed: dict[str, Amounts] = defaultdict(Amounts)  # By pool.
-        self._claimants: set[StepKey] = set()
+        self._earmarked: dict[str, Amounts] = defaultdict(Amounts)  # By pool.
+        self._earmarking_steps: set[StepKey] = set()
         self._expected_free: dict[str, Amounts] = {}
-        self._draining: Counter[str] = Counter()  # Workers set aside until tasks end, by pool.
-        self._draining_gangs = 0
+        # Of the workers set aside, those of gangs that do not fit yet, by pool.
+        self._set_aside_early: Counter[str] = Counter()
+        self._early_gang_count = 0
 
     @property
-    def draining_gangs(self) -> int:
-        """Return for how many gangs workers are set aside until tasks on them end."""
-        return self._draining_gangs
+    def early_gang_count(self) -> int:
+        """Return for how many gangs workers are set aside that do not fit yet."""
+        return self._early_gang_count
 
     def get_usable(self, pool: str) -> dict[str, FleetWorker]:
         """Return the usable workers of a pool by id."""
@@ -143,30 +144,39 @@
     def get_expected_free(self, worker: FleetWorker, *, within_s: float) -> Amounts:
         """Return the capacity of a worker that is free now or expected to be within a time."""
         free = self.get_free(worker)
+        if not within_s:
+            return free
         for release in self.make_outlook(worker).releases:
             if release.at > self.now + within_s:
                 break
             free += release.amounts
         return free
 
-    def claim(self, step: StepRun, pool: str) -> None:
-        """Count once the capacity that a step is to use for which advice is requested."""
-        if step.key not in self._claimants:
-            self._claimants.add(step.key)
-            self._claimed[pool] += step.amounts * step.count_waiting_tasks()
+    def earmark(self, step: StepRun, pool: str, *, count: int) -> None:
+        """Count once the capacity for the tasks of a step that a request for advice may bring."""
+        if step.key not in self._earmarking_steps:
+            self._earmarking_steps.add(step.key)
+            self._earmarked[pool] += step.amounts * count
 
-    def may_claim(self, step: StepRun, pool: str) -> bool:
+    def may_earmark(self, step: StepRun, pool: str) -> bool:
         """Return whether steps of higher rank are expected to leave capacity for a step."""
-        if step.key in self._claimants:
+        if step.key in self._earmarking_steps:
             return True
         expected = self._expected_free.get(pool)
         if expected is None:
             expected = NO_RESOURCES
             for worker in self.get_usable(pool).values():
-                free = self.get_expected_free(worker, within_s=CLAIM_HORIZON_S)
+                free = self.get_expected_free(worker, within_s=EARMARK_HORIZON_S)
                 expected += free.get_elementwise_max(NO_RESOURCES)
             self._expected_free[pool] = expected
-        return self._claimed[pool].fits_in(expected * CLAIM_FACTOR)
+        left = expected * EARMARK_FACTOR - self._earmarked[pool]
+        needed = step.amounts
+        # Only what the step needs itself counts: others may be short of something else.
+        return (
+            (not needed.processors or left.processors >= needed.processors)
+            and (not needed.memory_mb or left.memory_mb >= needed.memory_mb)
+            and (not needed.accelerators or left.accelerators >= needed.accelerators)
+        )
 
     def _list_releases(self, worker: FleetWorker) -> Iterator[Release]:
         for placement in worker.placements.values():
@@ -174,17 +184,16 @@
             if at < math.inf:
                 yield Release(at, placement.amounts)
 
-    def may_drain(self, count: int, *, pool: str, fraction: float) -> bool:
-        """Return whether so many more workers of a pool may be set aside until tasks end."""
-        return self._draining[pool] + count <= len(self.get_usable(pool)) * fraction
+    def may_set_aside_early(self, count: int, *, pool: str, fraction: float) -> bool:
+        """Return whether a gang that does not fit yet may keep so many workers of a pool."""
+        return self._set_aside_early[pool] + count <= len(self.get_usable(pool)) * fraction
 
     def set_aside(self, step: StepRun, chosen: GangWorkers, *, pool: str) -> None:
         """Keep workers for a gang until it is expected to start."""
         self.waiting_gangs.append((step, chosen))
-        self.claim(step, pool)
         if chosen.ready_at > self.now:
-            self._draining_gangs += 1
-            self._draining[pool] += len(chosen.workers)
+            self._early_gang_count += 1
+            self._set_aside_early[pool] += len(chosen.workers)
         for worker_id in chosen.workers:
             self._set_aside[worker_id] = (step, chosen.ready_at)
 
