--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from bench.job_model import JobModel, play
-from dewspindle._internal.jobs import planning
+from dewspindle._internal.jobs import early_gangs
 from dewspindle._internal.jobs.placements import Placement, PlacementPhase
 from dewspindle._internal.jobs.runs import JobRun
 from dewspindle._internal.models.ids import JobId
@@ -167,7 +167,7 @@
 
 @given("a gang that needs all workers at once waits")
 def given_gang_of_all(context):
-    with mock.patch.object(planning, "MAX_SET_ASIDE_FRACTION", 1.0):
+    with mock.patch.object(early_gangs, "MAX_SET_ASIDE_FRACTION", 1.0):
         submit(context, 4, processors=32_000, estimate_s=4, gang=True, priority=1)
         assert not plan(context)
 
@@ -188,7 +188,7 @@
 @when("a task of {seconds:d} seconds and of lower priority arrives")
 def when_task_arrives(context, seconds):
     context.task = submit(context, 1, processors=1000, estimate_s=seconds, gang=False, priority=2)
-    with mock.patch.object(planning, "MAX_SET_ASIDE_FRACTION", 1.0):
+    with mock.patch.object(early_gangs, "MAX_SET_ASIDE_FRACTION", 1.0):
         context.started = {start.unit.step.run.stored.id for start in plan(context)}
 
 
@@ -210,7 +210,7 @@
     options = {"workers": workers, "load": percent / USUAL_LOAD_PERCENT, "seconds": 15, "seed": 1}
     context.with_rules = play(**options)["worth_by_kind"]
     with (
-        mock.patch.object(planning, "MAX_WAITING_GANGS", 0),
+        mock.patch.object(early_gangs, "MAX_WAITING_GANGS", 0),
         mock.patch.object(job_advice, "GANG_CHOICE_FACTOR", 1.0),
         mock.patch.object(job_advice, "GANG_ROOM_FACTOR", 0.0),
     ):
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -189,6 +189,7 @@
         self._penalized_until: dict[str, float] = {}
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
+        self._helper_count = 0  # At the last dispatch.
         self._calls_by_rank = 0  # Calls since the longest waiting request had its turn.
         self._helper_seconds: defaultdict[AdvicePurpose, float] = defaultdict(float)
 
@@ -199,9 +200,8 @@
 
     @property
     def has_spare_helper(self) -> bool:
-        """Return whether a helper is free and no request waits for one."""
-        busy = len(self._calls_in_flight)
-        return not self._waiting and busy < sum(1 for _ in self._list_helpers())
+        """Return whether a helper was free after the last dispatch, and no request waits for it."""
+        return not self._waiting and len(self._calls_in_flight) < self._helper_count
 
     def start(self, group: TaskGroup) -> None:
         """Use a task group for calls."""
@@ -233,10 +233,11 @@
 
     def dispatch(self) -> None:
         """Send waiting requests through free helpers, in rank order."""
+        helpers = list(self._list_helpers())
+        self._helper_count = len(helpers)
         if self._group is None or not self._waiting:
             return
         now = self._timers.now()
-        helpers = list(self._list_helpers())
         self._penalized_until = {h: at for h, at in self._penalized_until.items() if at > now}
         free = {helper for helper in helpers if helper.address not in self._calls_in_flight}
         candidates = sorted(self._waiting, key=lambda request: request.rank)
@@ -281,7 +282,7 @@
         waits = [now - request.asked_at for request in self._waiting]
         seconds, self._helper_seconds = self._helper_seconds, defaultdict(float)
         return {
-            "helpers": len(list(self._list_helpers())),
+            "helpers": self._helper_count,
             "busy_helpers": len(self._calls_in_flight),
             "waiting_requests": len(waits),
             "longest_request_wait_s": round(max(waits, default=0.0), 3),
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -56,9 +56,8 @@
         if horizon_s <= LONG_CALL_S:
             horizon_s = 0.0
         fits = {
-            worker.id: count_fitting(
-                step.amounts, round_.get_expected_free(worker, within_s=horizon_s)
-            )
+            worker.id: count_fitting(step.amounts, round_.get_free(worker))
+            or count_fitting(step.amounts, round_.get_expected_free(worker, within_s=horizon_s))
             for worker in round_.get_usable(queue.pool).values()
             if worker.id not in advice.refused
             and not advice.has_ticket(worker.id, round_.now)
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ..cell.jobs import JobStore
-from ..scheduling.gang_workers import GangWorkers, choose_earliest_workers
+from ..scheduling.gang_workers import GangWorkers
 from ..scheduling.inherited_work import SilentWorker, list_possible_workers
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
@@ -14,7 +14,8 @@
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
 from .advice import AdviceClient, StepKey
-from .advice_planner import AdvicePlanner, count_filled_workers
+from .advice_planner import AdvicePlanner
+from .early_gangs import find_early_workers
 from .fleet import Fleet, FleetWorker
 from .planner_load import PlannerLoad, StepWorkers
 from .planning_round import PlannedStart, PlanningRound
@@ -23,9 +24,6 @@
 from .suspect_placement import choose_for_suspect, has_suspect
 from .team_work import TeamWork
 
-# Gangs that do not fit yet and have workers set aside in one round, in rank order.
-MAX_WAITING_GANGS = 8
-MAX_SET_ASIDE_FRACTION = 0.5  # Of the usable workers of a pool, for such gangs.
 # Added to the score of a worker set aside, so that tasks of higher rank use others while they can.
 SET_ASIDE_PENALTY = 1.0
 
@@ -305,42 +303,13 @@
             if not self._advice.get(step.key).failures:
                 round_.set_aside(step, chosen, pool=queue.pool)
         else:
-            found = self._find_early_workers(step, queue, unit, apart, round_)
-            if found is None:
+            early = find_early_workers(step, unit, apart, round_, pool=queue.pool)
+            if early is None:
                 return
-            chosen = found
+            chosen = early
             round_.set_aside(step, chosen, pool=queue.pool)
         self._advice_planner.renew_for_gang(step, queue, round_, chosen, approved=apart, rank=rank)
 
-    @staticmethod
-    def _find_early_workers(
-        step: StepRun,
-        queue: jobs_pb2.Queue,
-        unit: UnitRun,
-        workers: list[FleetWorker],
-        round_: PlanningRound,
-    ) -> GangWorkers | None:
-        """Return the workers to keep for a gang until enough tasks on them have ended, if any."""
-
-        def may_keep(count: int) -> bool:
-            return round_.may_set_aside_early(
-                count, pool=queue.pool, fraction=MAX_SET_ASIDE_FRACTION
-            )
-
-        largest = round_.get_largest_capacity(queue.pool)
-        if round_.early_gang_count >= MAX_WAITING_GANGS:
-            return None
-        if not may_keep(count_filled_workers(step, largest)):
-            return None
-        chosen = choose_earliest_workers(
-            step.amounts,
-            unit.unit.size,
-            [round_.make_outlook(worker) for worker in workers],
-            now=round_.now,
-            limit_per_worker=step.message.max_per_worker,
-        )
-        return chosen if chosen is not None and may_keep(len(chosen.workers)) else None
-
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         if all(unit.not_before > round_.now for unit in step.waiting.values()):
             return
