--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from dewspindle._internal.cell.view import CellView
+from dewspindle._internal.models.enums import Role
 from dewspindle._internal.network import methods
 from dewspindle._internal.network.peer_client import PeerClient
 from dewspindle._internal.network.peer_server import PeerServer
@@ -223,6 +224,7 @@
             disk=MemoryDisk(),
         )
         context.closers.append(replica_context.log.close)
+        replica_context.role, replica_context.metadata.term = Role.LEADER, 1
         peer = cell_pb2.Voter(replica_id="b", instance_id="b", address=context.address)
         context.link = PeerLink(replica_context, peer=peer, term=1)
         context.link_task = asyncio.ensure_future(run_in_group(context.link.run))
