Answer the callers of a deposed leader while its disk hangs

Callers saw: a change sent to a leader whose disk hangs stayed unanswered for as long as it hung, although another replica led by then. The tasks of a term are cancelled together, and a write that hangs in its thread cannot be, so that waiting changes were released only after it.

The waiting changes are now released as soon as the replica leads no longer, before its tasks end.

--- a/src/dewspindle/_internal/replication/leadership.py
+++ b/src/dewspindle/_internal/replication/leadership.py
@@ -1,5 +1,7 @@
 """The leader's side of replication: commit index, leader lease, quorum and transfer."""
 
+from collections.abc import Callable
+
 import anyio
 import anyio.lowlevel
 from anyio.abc import TaskGroup
@@ -21,9 +23,10 @@
 class Leadership:
     """One term as the leader: replication to peers, commit index, leader lease and membership."""
 
-    def __init__(self, context: ReplicaContext, *, term: int) -> None:
+    def __init__(self, context: ReplicaContext, *, term: int, on_end: Callable[[], None]) -> None:
         self._context = context
         self._term = term
+        self._on_end = on_end
         self._links: dict[ReplicaId, PeerLink] = {}
         self._known_confirmed_at = float("-inf")
         self._known_membership: cell_pb2.Membership | None = None  # Whose voters confirmed it.
@@ -125,6 +128,8 @@
             try:
                 await self._maintain(group)
             finally:
+                # The group waits for a write that hangs in its thread; callers need not.
+                self._on_end()
                 group.cancel_scope.cancel()
         logger.info("no longer leading", term=self._term)
 
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -163,7 +163,7 @@
                 await self._lead(term)
 
     async def _lead(self, term: int) -> None:
-        self._leadership = Leadership(self._context, term=term)
+        self._leadership = Leadership(self._context, term=term, on_end=self._abort_proposals)
         try:
             await self._leadership.run()
         finally:
