Ask for a gang about joining workers only after earlier answers

It is the renewals' fault once more: a call takes long however few workers it lists. Further workers are now listed once the earlier requests of the gang are answered.

--- a/features/steps/waiting_step_steps.py
+++ b/features/steps/waiting_step_steps.py
@@ -51,6 +51,15 @@
     model.after(seconds, occupy_again, model, worker_id, rng)
 
 
+@given("a worker joins every {seconds:g} seconds")
+def given_joining_workers(context, seconds):
+    def join():
+        context.model.add_worker()
+        context.model.after(seconds, join)
+
+    context.model.after(seconds, join)
+
+
 @given("room on workers kept for gangs is not counted")
 def given_reserved_room_not_counted(context):
     context.model.check.counts_reserved_room = False
@@ -237,6 +246,12 @@
     assert 0 < took_s.get("renewal", 0.0) <= seconds, took_s
 
 
+@then("requests for gangs took at most {seconds:d} seconds of helpers in all")
+def then_gangs_took(context, seconds):
+    took_s = context.model.client.take_load()["helper_seconds"]
+    assert 0 < took_s.get("gang", 0.0) <= seconds, took_s
+
+
 @then("advice for tasks took at most {seconds:d} seconds of helpers in all")
 def then_tasks_took(context, seconds):
     took_s = context.model.client.take_load()["helper_seconds"]
--- a/features/waiting_steps.feature
+++ b/features/waiting_steps.feature
@@ -76,6 +76,14 @@
     When 12 seconds of planning pass
     Then no step waits longer than 3 seconds while there is room for it twice over
 
+  Scenario: Workers that join one after another take no helper each for a waiting gang
+    Given a leader that plans steps on 20 workers of 32 cores
+    And workers 0 to 19 are full for 30 seconds
+    And a worker joins every 0.1 seconds
+    And a gang of 12 tasks of 10 cores for workers 0 to 3 with a slow advisor
+    When 8 seconds of planning pass
+    Then requests for gangs took at most 8 seconds of helpers in all
+
   Scenario: Steps whose workers are full take no helpers
     Given a leader that plans steps on 20 workers of 32 cores
     And workers 0 to 19 are full for 30 seconds
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -78,6 +78,11 @@
         """Return whether a request lists workers that were approved before."""
         return any(worker in self.tickets for worker in self.pending)
 
+    @property
+    def is_decision_pending(self) -> bool:
+        """Return whether a request lists workers that were not approved before."""
+        return any(worker not in self.tickets for worker in self.pending)
+
     def may_ask(self, now: float) -> bool:
         """Return whether the delay after a failed call has passed."""
         return now >= self.retry_at
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -54,7 +54,7 @@
             return
         horizon_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
         if horizon_s <= LONG_CALL_S:
-            horizon_s = 0.0
+            horizon_s = 0.0  # A short call is answered before anything changes.
         fits = {
             worker.id: count_fitting(step.amounts, round_.get_free(worker))
             or count_fitting(step.amounts, round_.get_expected_free(worker, within_s=horizon_s))
@@ -98,37 +98,36 @@
         *,
         rank: Rank,
     ) -> None:
-        """Request advice on further workers that have room for a gang, or leave it a choice."""
+        """Request advice on further workers that have room for a gang, or leave it a choice.
+
+        Workers that join meanwhile wait for the answers, so that not each of them takes a call.
+        """
         advice = self._client.get(step.key)
-        if not self._may_ask(queue, advice, round_) or not self._may_call(step, queue, round_):
+        if not self._may_ask(queue, advice, round_) or advice.is_decision_pending:
+            return
+        if not self._may_call(step, queue, round_):
             return
-        usable = round_.get_usable(queue.pool)
         undecided = [
             worker
-            for worker in usable.values()
+            for worker in round_.get_usable(queue.pool).values()
             if worker.id not in advice.tickets
             and worker.id not in advice.refused
-            and worker.id not in advice.pending
             and step.accepts(worker.message.labels)
             and step.amounts.fits_in(worker.capacity)
         ]
         if not undecided:
             return
         odds = self._client.odds.get(queue.name)
-        pending = [usable[worker] for worker in advice.pending if worker in usable]
-        room = count_gang_room(step, round_, approved)
-        expected = room + odds * count_gang_room(step, round_, pending)
         choice = count_workers_to_list(
             filled=count_filled_workers(step, round_.get_largest_capacity(queue.pool)),
             approved=len(approved),
-            pending=len(advice.pending),
             odds=odds,
         )
         workers = choose_gang_candidates(
             {worker.id: count_gang_room(step, round_, [worker]) for worker in undecided},
             choice=choice,
             size=step.message.count,
-            expected=expected,
+            expected=count_gang_room(step, round_, approved),
             odds=odds,
         )
         if workers:
--- a/src/dewspindle/_internal/scheduling/job_advice.py
+++ b/src/dewspindle/_internal/scheduling/job_advice.py
@@ -50,14 +50,14 @@
     return min(MAX_LISTED_WORKERS, max(MIN_LISTED_WORKERS, affordable))
 
 
-def count_workers_to_list(*, filled: int, approved: int, pending: int, odds: float) -> int:
+def count_workers_to_list(*, filled: int, approved: int, odds: float) -> int:
     """Return how many more workers to list for a gang.
 
     A gang of wide tasks fills several whole workers at once, and the advisor approves few of a
     full fleet. So many are listed that the approved ones are expected to leave a choice. `filled`
-    is the number of workers that the gang fills, `pending` that of workers listed and undecided.
+    is the number of workers that the gang fills.
     """
-    missing = math.ceil(filled * GANG_CHOICE_FACTOR) - approved - int(pending * odds)
+    missing = math.ceil(filled * GANG_CHOICE_FACTOR) - approved
     return max(MIN_LISTED_WORKERS, math.ceil(missing / odds)) if missing > 0 else 0
 
 
