Review case 3: tasks of an executor that leaves run twice

Shows that tasks are started elsewhere while their first runs are under way (TWICE): a deregistration is taken for the end of the executor, whose acknowledgement is lost and which runs on.

--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,124 +1,81 @@
-"""Tasks that last fail now and then; afterwards accepted work never runs, on empty executors."""
+"""Tasks of an executor that leaves are started elsewhere while they still run on it."""
 
 import asyncio
 import json
 import sys
+from itertools import pairwise
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins.case import main
-from standins.system import CAPACITY, System, make_config, make_route
-
-EXECUTORS = 12
-SERVICES = 2  # Jobs whose tasks last, with one task on each executor.
-FAILING_S = 24.0  # In this time each task that lasts fails once.
-CALM_S = 20.0  # The rule asks for 4 s, and for 6 s since the last run of a task that lasts.
-WAIT_S = 12.0  # The rule gives 3 s.
-TASK = {"cpu": 2000, "mem_mb": 1024}
-
-
-def make_service() -> dict[str, object]:
-    """Return a job with a task that lasts on each executor."""
-    step = {**TASK, "count": EXECUTORS, "long_running": True, "max_per_server": 1}
-    return {"spec": json.dumps({"run_s": 0}), "steps": [step]}
-
-
-def make_batch_job() -> dict[str, object]:
-    """Return an ordinary job of two short tasks."""
-    step = {**TASK, "count": 2, "estimate_ms": 500}
-    return {"spec": json.dumps({"run_s": 0.5}), "steps": [step]}
-
-
-def list_running(system: System, path: str) -> set[str]:
-    """Return the tasks of a job that run."""
-    job = path.rpartition("/")[2]
-    return {t for m in system.machines for t in m.running if t.startswith(job)}
-
-
-def list_idle_s(system: System, path: str) -> list[float]:
-    """Return for how long tasks of a service have not run, for those that wait for too long."""
-    job = path.rpartition("/")[2]
-    last_end: dict[str, float] = {}
-    for (task, _), ended_at in system.fleet_log.ended_at.items():
-        if task.startswith(job):
-            last_end[task] = max(ended_at, last_end.get(task, 0.0))
-    running = list_running(system, path)
-    ages = (system.record.now - at for task, at in last_end.items() if task not in running)
-    return [age for age in ages if age > CALM_S]
-
-
-async def wait_until_running(system: System, path: str, count: int, *, within_s: float) -> bool:
-    """Return whether so many tasks of a job run within a time."""
-    ends_at = system.record.now + within_s
-    while system.record.now < ends_at:
-        if len(list_running(system, path)) >= count:
-            return True
-        await asyncio.sleep(0.1)
-    return False
-
-
-async def let_tasks_fail(system: System, services: list[str]) -> None:
-    """Let each task that lasts fail once, at random times."""
-    tasks = [t for path in services for t in list_running(system, path)]
-    plan = sorted((system.rng.uniform(0, FAILING_S), task) for task in sorted(tasks))
-    began_at = system.record.now
-    for at, task in plan:
-        await asyncio.sleep(max(0.0, began_at + at - system.record.now))
-        for machine in system.machines:
-            if machine.executor is not None and task in machine.running:
-                machine.executor.fail(task)
-
-
-def describe_use(system: System) -> str:
-    """Return how many tasks run on each executor, and the share of the processors in use."""
-    counts = [len(m.running) for m in system.machines]
-    share = sum(counts) * TASK["cpu"] / (CAPACITY["cpu"] * EXECUTORS)
-    return f"tasks by executor {counts}, {share:.0%} of the processors in use"
+from standins.leaving import LeavingMachine
+from standins.system import System, find_free_ports, make_config, make_route
+
+OTHERS = 15  # With the one that leaves, 16 executors.
+ESTIMATE_S = 5.0
+RUN_S = 12.0  # Of one job: 10 s of work at a speed of 0.8. Its estimate is rough.
+DRAINS_AFTER_S = 2.2  # Counted from the start of its first task.
+REMAINING_MS = 3000  # `drain_timeout_ms` is 2000, and "a little longer".
+LEAVES_AFTER_S = 3.0  # Counted from the acknowledgement of `draining`.
+CUT_BEFORE_S = 0.2
+CUT_S = 5.5
+
+
+def make_job(run_s: float) -> dict[str, object]:
+    """Return a job whose tasks fill an executor."""
+    step = {"count": 4, "cpu": 8000, "mem_mb": 4096, "estimate_ms": int(ESTIMATE_S * 1000)}
+    return {"spec": json.dumps({"run_s": run_s}), "steps": [step]}
+
+
+def find_overlaps(system: System) -> list[str]:
+    """Return the tasks of which two runs were under way at the same time."""
+    runs: dict[str, list[tuple[float, float, int, int]]] = {}
+    log = system.fleet_log
+    for start in log.starts:
+        ended_at = log.ended_at.get((start.task, start.attempt), system.record.now)
+        runs.setdefault(start.task, []).append((start.at, ended_at, start.attempt, start.machine))
+    breaks = []
+    for task, spans in sorted(runs.items()):
+        spans.sort()
+        for before, after in pairwise(spans):
+            if after[0] < before[1]:
+                breaks.append(
+                    f"TWICE: run {after[2]} of {task} starts on machine {after[3]} at "
+                    f"{after[0]:.3f}; run {before[2]} is under way on machine {before[3]} "
+                    f"until {before[1]:.3f}"
+                )
+    return breaks
 
 
 async def play(system: System, has_trouble: bool) -> list[str]:
     """Play the case and return the breaks of the rule."""
-    routes = [
-        make_route("r-service", "/lohu930/", attempts=2, priority=2),
-        make_route("r-batch", "/pule252/", attempts=3, priority=1),
-    ]
-    await system.start(executors=EXECUTORS, config=make_config(7, routes))
-    services = [await system.submit("/lohu930/", make_service()) for _ in range(SERVICES)]
-    for path in services:
-        if not await wait_until_running(system, path, EXECUTORS, within_s=10):
-            return [f"before any trouble, the tasks of {path} do not all run"]
-    before = [await system.submit("/pule252/", make_batch_job()) for _ in range(4)]
-    await asyncio.sleep(3)
-    for path in before:
-        system.record.write(f"before: {path} is {await system.get_state(path)}")
-    if has_trouble:
-        await let_tasks_fail(system, services)
+    routes = [make_route("r-photo", "/pufi791/", attempts=4)]
+    await system.start(executors=OTHERS, config=make_config(7, routes))
+    port = find_free_ports(system.fleet_host, 1)[0]
+    leaving = system.make_machine(LeavingMachine, OTHERS, port)
+    system.machines.append(leaving)
+    await leaving.start()
+    await leaving.wait_until_called()
+    await asyncio.sleep(2)
+    for _ in range(OTHERS):
+        await system.submit("/pufi791/", make_job(ESTIMATE_S))
+    await system.submit("/pufi791/", make_job(RUN_S))
+    for _ in range(50):
+        if leaving.running:
+            break
+        await asyncio.sleep(0.1)
     else:
-        await asyncio.sleep(FAILING_S)
-    system.record.write(f"calm begins: {describe_use(system)}")
-    await asyncio.sleep(CALM_S)
-    system.record.write(f"calm: {describe_use(system)}")
-    job = await system.submit("/pule252/", make_batch_job())
-    job_id = job.rpartition("/")[2]
-    await asyncio.sleep(WAIT_S)
-    breaks = []
-    use = describe_use(system)
-    system.record.write(f"end: {use}")
-    for path in services:
-        idle_s = list_idle_s(system, path)
-        if idle_s:
-            breaks.append(
-                f"LOST: {len(idle_s)} of {EXECUTORS} tasks that last of {path} do not run; their "
-                f"last runs ended {min(idle_s):.1f} s to {max(idle_s):.1f} s ago; {use}"
-            )
-    if not any(start.task.startswith(job_id) for start in system.fleet_log.starts):
-        state = await system.get_state(job)
-        breaks.append(
-            f"LOST: {job} was accepted, and in {WAIT_S:.0f} s of calm no task of it has begun "
-            f"(state {state}); {use}"
-        )
-    return breaks
+        return ["before any trouble, the executor gets no task"]
+    await asyncio.sleep(DRAINS_AFTER_S)
+    await leaving.drain(REMAINING_MS)
+    await asyncio.sleep(LEAVES_AFTER_S - CUT_BEFORE_S)
+    if has_trouble:
+        leaving.cut_off(for_s=CUT_S)
+    await asyncio.sleep(CUT_BEFORE_S)
+    await leaving.leave()
+    await asyncio.sleep(RUN_S + 4)
+    return find_overlaps(system)
 
 
 if __name__ == "__main__":
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -8,8 +8,8 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from .record import Record
-from .system import SetupError, System
+from .record import Record, SetupError
+from .system import System
 
 LIMIT_S = 112.0
 
@@ -36,6 +36,7 @@
                 return await play(system, has_trouble)
         finally:
             system.close()
+            await asyncio.sleep(0.1)  # Connections are closed by the event loop.
 
     with Record(folder / "record.txt") as record:
         record.write(f"TROUBLE={int(has_trouble)} seed {seed}")
--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -200,7 +200,7 @@
             "zone": self.machine.zone,
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            **self.machine.describe_state(),
             "cold_remaining_ms": 0,
             "capacity": self.machine.capacity,
             "labels": ["a", f"r{self.machine.number // 4}-0"],
@@ -239,6 +239,10 @@
         self._heartbeats: asyncio.Task[None] | None = None
         self.executor: Executor | None = None
 
+    def describe_state(self) -> dict[str, Any]:
+        """Return what a heartbeat says of the state of the executor."""
+        return {"state": "ready"}
+
     @property
     def running(self) -> list[str]:
         """Return the tasks that run here."""
--- a/review/standins/http11.py
+++ b/review/standins/http11.py
@@ -73,6 +73,37 @@
             writer.transport.abort()
 
 
+class KeptConnection:
+    """A connection for several requests, one after the other."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def call(self, method: str, path: str, *, body: Any, timeout_s: float) -> int:
+        """Send a request and return the status; raise `ConnectionLostError` without an answer."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._reader is None or self._writer is None:
+                    host, _, port = self._address.partition(":")
+                    self._reader, self._writer = await asyncio.open_connection(host, int(port))
+                headers = {"Host": self._address}
+                self._writer.write(_make_message(f"{method} {path} HTTP/1.1", headers, body))
+                await self._writer.drain()
+                first, _, _ = await _read_message(self._reader)
+                return int(first.split(" ")[1])
+        except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError) as error:
+            self.close()
+            raise ConnectionLostError(str(error) or type(error).__name__) from None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+
 async def call(
     address: str,
     method: str,
--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -5,6 +5,10 @@
 from types import TracebackType
 
 
+class SetupError(Exception):
+    """The case could not run."""
+
+
 class Record:
     """Writes timed lines to a file; times are seconds since the start of the case."""
 
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -12,11 +12,11 @@
 import tempfile
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from .executor import FleetLog, Machine
 from .http11 import ConnectionLostError, call
-from .record import Record
+from .record import Record, SetupError
 
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("pasig-a", "pasig-b", "clark")
@@ -60,9 +60,7 @@
 }
 CLIENT_DEADLINE_S = 3.0
 
-
-class SetupError(Exception):
-    """The case could not run."""
+M = TypeVar("M", bound=Machine)
 
 
 def make_route(
@@ -174,7 +172,7 @@
         self._folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         base = f"127.{random.randrange(2, 250)}.{random.randrange(250)}"
         ips = [f"{base}.{10 + number}" for number in range(cells + entries)]
-        self._fleet_host = f"{base}.200"
+        self.fleet_host = f"{base}.200"
         ports = find_free_ports(ips[0], 4)
         self._peer_port, self._admin_port, self._client_port, self._ready_port = ports
         seeds = ",".join(f"{ip}:{self._admin_port}" for ip in ips[: min(3, cells)])
@@ -241,20 +239,8 @@
         """Start all, and wait until the configuration is acknowledged and the entries are ready."""
         for program in (*self.cells, *self.entries):
             program.start()
-        addresses = self.control_addresses
-        for number, port in enumerate(find_free_ports(self._fleet_host, executors)):
-            machine = Machine(
-                number,
-                host=self._fleet_host,
-                port=port,
-                service=SERVICE,
-                zone=ZONES[number % len(ZONES)],
-                capacity=CAPACITY,
-                control_addresses=addresses,
-                log=self.fleet_log,
-                record=self.record,
-                rng=random.Random(self.rng.random()),
-            )
+        for number, port in enumerate(find_free_ports(self.fleet_host, executors)):
+            machine = self.make_machine(Machine, number, port)
             self.machines.append(machine)
             await machine.start()
         try:
@@ -268,6 +254,21 @@
             raise SetupError("the system did not become ready") from None
         self.record.write("the system is ready")
 
+    def make_machine(self, kind: type[M], number: int, port: int) -> M:
+        """Return a machine of the service; `start` starts its executor."""
+        return kind(
+            number,
+            host=self.fleet_host,
+            port=port,
+            service=SERVICE,
+            zone=ZONES[number % len(ZONES)],
+            capacity=CAPACITY,
+            control_addresses=self.control_addresses,
+            log=self.fleet_log,
+            record=self.record,
+            rng=random.Random(self.rng.random()),
+        )
+
     async def replace_config(self, config: dict[str, Any]) -> None:
         """Send a configuration until it is acknowledged."""
         while True:
