--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -284,6 +284,16 @@
                         raise SetupError(f"the configuration is refused with {status}")
             await asyncio.sleep(0.3)
 
+    async def read_config(self) -> int | None:
+        """Return the version that a node answers, asking each of them; None if none answers."""
+        for address in self.control_addresses:
+            with contextlib.suppress(ConnectionLostError):
+                status, answer = await call(address, "GET", "/Config.Read", timeout_s=1.0)
+                self.record.write(f"GET /Config.Read at {address}: {status}")
+                if status == 200:
+                    return int(answer["version"])
+        return None
+
     async def _wait_until_ready(self, program: Program) -> None:
         while True:
             with contextlib.suppress(ConnectionLostError):
