Send one request at a time on the kept connection of review case 3

A run with TROUBLE=0 ended with status 2: the drain was sent while a heartbeat waited on the same connection. A fault of the stand-in. Its heartbeats now also go on after the drain, and it leaves 2.9 s after the acknowledgement, before the next one.

--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -17,7 +17,7 @@
 RUN_S = 12.0  # Of one job: 10 s of work at a speed of 0.8. Its estimate is rough.
 DRAINS_AFTER_S = 2.2  # Counted from the start of its first task.
 REMAINING_MS = 3000  # `drain_timeout_ms` is 2000, and "a little longer".
-LEAVES_AFTER_S = 3.0  # Counted from the acknowledgement of `draining`.
+LEAVES_AFTER_S = 2.9  # Counted from the acknowledgement of `draining`.
 CUT_BEFORE_S = 0.2
 CUT_S = 5.5
 
--- a/review/standins/http11.py
+++ b/review/standins/http11.py
@@ -96,6 +96,9 @@
         except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError) as error:
             self.close()
             raise ConnectionLostError(str(error) or type(error).__name__) from None
+        except asyncio.CancelledError:
+            self.close()  # A late answer must not be taken for that of the next request.
+            raise
 
     def close(self) -> None:
         """Close the connection."""
--- a/review/standins/leaving.py
+++ b/review/standins/leaving.py
@@ -26,6 +26,7 @@
         self._outbound = [Proxy(address) for address in self._control]
         self._kept: KeptConnection | None = None
         self._remaining_ms: int | None = None
+        self._sending = asyncio.Lock()  # One request at a time on the kept connection.
 
     async def start(self) -> None:
         """Start the proxies and the executor."""
@@ -74,22 +75,32 @@
 
     async def _send_heartbeats(self, executor: Executor) -> None:
         while True:
-            await self._send(f"/Instances.Heartbeat/{executor.id}", executor.make_heartbeat())
+            async with self._sending:
+                await self._send(f"/Instances.Heartbeat/{executor.id}", executor.make_heartbeat())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def _send_heartbeats_later(self, executor: Executor) -> None:
+        await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+        await self._send_heartbeats(executor)
+
+    def _pause_heartbeats(self) -> None:
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+
     async def drain(self, remaining_ms: int) -> None:
         """Report the planned end until it is acknowledged; heartbeats go on."""
         executor = self.executor
         assert executor is not None
-        self._remaining_ms = remaining_ms
-        if self._heartbeats is not None:
-            self._heartbeats.cancel()
-        for _ in range(5):
-            body = executor.make_heartbeat()
-            if await self._send(f"/Instances.Heartbeat/{executor.id}", body):
-                break
-        else:
-            raise SetupError("the drain is not acknowledged")
+        async with self._sending:
+            self._pause_heartbeats()
+            self._remaining_ms = remaining_ms
+            for _ in range(5):
+                body = executor.make_heartbeat()
+                if await self._send(f"/Instances.Heartbeat/{executor.id}", body):
+                    break
+            else:
+                raise SetupError("the drain is not acknowledged")
+        self._heartbeats = asyncio.create_task(self._send_heartbeats_later(executor))
         self._record.write(f"{executor.id} drains, acknowledged; it runs {self.running}")
 
     async def leave(self) -> None:
@@ -98,6 +109,8 @@
         assert executor is not None
         self._record.write(f"{executor.id} deregisters; it runs {self.running}")
         has_ack = False
+        await self._sending.acquire()  # Held to the end.
+        self._pause_heartbeats()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(END_WITHOUT_ACK_S):
                 while not has_ack:
