Wait for the end of a deregistered worker's tasks before they start elsewhere

A worker deregistered and got no acknowledgement, so it ran on for some seconds; 4.2 s after the deregistration all its tasks were started on another worker.

Cause: the session took the deregistration for the end of the process, and reported the tasks there as lost 0.5 s later. The leader's log names it ("tasks lost", why "the worker deregistered"); an expired lease and another process at the address are ruled out by the same log.

The tasks are now placed anew once their ends are listed, the lease has surely expired, or another life or worker answers at the address. The lease of a deregistered worker is not renewed, so that it expires within 6.2 s. Nothing else shows that a process has ended: an acknowledgement may be lost, and a cut link may refuse connections.

The same cause on related paths: a lost leader after the deregistration, a deregistration at a leader that has not read the worker's list yet, and one of an earlier life under the same id.

--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -45,6 +45,8 @@
 # After a contact timeout of 3 s and a heartbeat, a shrunk worker gets only what it has left.
 SHRINKING_KNOWN_AFTER_S = 3.0 + HEARTBEAT_INTERVAL_S
 LATE_DELIVERY_S = 4.0
+LEAVE_RETRY_S = 1.0  # Between deregistrations that are not acknowledged.
+END_WITHOUT_ACKNOWLEDGEMENT_S = 5.0  # From the first deregistration.
 
 
 @dataclass
@@ -90,6 +92,9 @@
         self.timers = fleet.clock.make_timers()
         self.is_cut_off = False  # Gets no calls and sends no answers or heartbeats.
         self.loses_answers = False  # Executes calls, but its answers do not arrive.
+        # What the system sends is lost: calls, and answers to what the worker sends.
+        self.gets_no_calls = False
+        self.gets_no_acknowledgements = False
         # Executes starts and stops only after their sender has stopped waiting; gets no renewals.
         self.delays_orders = False
         self.counts_lease_from_arrival = False  # Extends the deadlines of late orders by the delay.
@@ -235,9 +240,13 @@
 
     def crash(self) -> None:
         """Stop and lose all tasks; another incarnation may take over the address."""
-        self.is_up = False
         for task in self.runs:
             self.fleet.crashes[task] += 1
+        self.end()
+
+    def end(self) -> None:
+        """End the process, and with it all tasks."""
+        self.is_up = False
         self.runs.clear()
         self.fleet.allow_reruns(self)
 
@@ -287,6 +296,8 @@
         network_timers = self._fleet.timers
         await network_timers.sleep(NETWORK_LATENCY_S)
         worker = self._fleet.find(endpoint)
+        if worker.gets_no_calls:
+            await network_timers.sleep(60)
         is_late = self._fleet.rng.random() < worker.late_call_fraction
         if worker.delays_orders or is_late:
             self._fleet.cell.start_soon(self._fleet.deliver_late, worker, call)
@@ -422,12 +433,35 @@
             clock_ms=worker.clock_ms,
             sequence=worker.heartbeat_sequence,
         )
+        await self.send_to_leader(heartbeat)
+
+    async def send_to_leader(self, heartbeat: peers_pb2.WorkerBeat) -> bool:
+        """Send a heartbeat to the current leader; return whether it was acknowledged."""
         leader = self.cell.leader
-        if leader is not None and leader.job_leader_services.dispatcher is not None:
-            try:
-                await leader.job_leader_services.dispatcher.handle_heartbeat(heartbeat)
-            except Exception as error:  # The leader may have failed or stepped down meanwhile.
-                self.cell.errors.append(error)
+        if leader is None or leader.job_leader_services.dispatcher is None:
+            return False
+        try:
+            await leader.job_leader_services.dispatcher.handle_heartbeat(heartbeat)
+        except Exception as error:  # The leader may have failed or stepped down meanwhile.
+            self.cell.errors.append(error)
+            return False
+        return True
+
+    async def send_deregistration(self, worker: CalledWorker, *, born_ms: int) -> bool:
+        """Deregister a worker, and return whether that was acknowledged."""
+        message = jobs_pb2.CalledWorker(id=worker.id, born_ms=born_ms)
+        return await self.send_to_leader(peers_pb2.WorkerBeat(worker=message, leaves=True))
+
+    async def leave(self, worker: CalledWorker) -> None:
+        """Deregister a worker until it is acknowledged or gives up waiting, and end it."""
+        worker.sends_heartbeats = False
+        ends_at = self.timers.now() + END_WITHOUT_ACKNOWLEDGEMENT_S
+        while self.timers.now() < ends_at:
+            is_acknowledged = await self.send_deregistration(worker, born_ms=worker.born_ms)
+            if is_acknowledged and not worker.gets_no_acknowledgements:
+                break
+            await self.timers.sleep(LEAVE_RETRY_S)
+        worker.end()
 
     async def _crash_under(self, worker: CalledWorker, task: TaskRef) -> None:
         """Crash the worker of a deadly task, which comes back as another incarnation."""
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -97,8 +97,10 @@
     heartbeat_sequence: int = -1
     is_draining: bool = False
     drain_ends_at: float = float("inf")
-    has_left: bool = False  # It has deregistered, or another incarnation answers at its address.
-    has_crashed: bool = False  # Another incarnation answers, and it had not said that it leaves.
+    # It has announced its end. Its tasks may run on, as the acknowledgement may be lost.
+    has_deregistered: bool = False
+    is_replaced: bool = False  # Another incarnation answers at its address, so it has ended.
+    has_crashed: bool = False  # It was replaced, and had not announced its end.
     # Placements given up when the lease expired, while it is not known whether the worker crashed.
     lapsed: list[Placement] = field(default_factory=list)
     is_reachable: bool = True
@@ -145,6 +147,7 @@
         self.heartbeat_sequence = -1
         self.capacity_known_at = float("-inf")
         self.is_draining = False
+        self.has_deregistered = False
         self.drain_ends_at = float("inf")
         self.suspended_until = float("-inf")
         self.consecutive_suspensions = 0
@@ -153,11 +156,11 @@
     def find_unusable_reason(self, now: float) -> str:
         """Return why no task may be started on the worker, or an empty string.
 
-        The reasons appear in the log. "leaves" means that it drains or has left, "unreachable" that
+        The reasons appear in the log. "leaves" means that it drains or ends, "unreachable" that
         it does not answer or its clock is not known yet, "unaccounted" that it is not reconciled or
         runs an unknown task, "suspended" that it is, and "silent" that it may have shrunk since.
         """
-        if self.has_left or self.is_draining:
+        if self.has_deregistered or self.is_replaced or self.is_draining:
             return "leaves"
         if not self.is_reachable or not self.lease.is_sampled:
             return "unreachable"
@@ -239,9 +242,9 @@
 
     def record_replaced(self) -> None:
         """Record that another incarnation answers at the worker's address."""
-        if not self.has_left:
-            self.has_left = True
-            self.has_crashed = not self.is_draining
+        if not self.is_replaced:
+            self.is_replaced = True
+            self.has_crashed = not (self.is_draining or self.has_deregistered)
 
     def record_unanswered_start(self, attempt: AttemptKey, now: float) -> None:
         """Record an unanswered start order, which may still arrive."""
@@ -404,7 +407,7 @@
         if heartbeat.clock_ms:
             worker.lease.record_clock(heartbeat.clock_ms, received_at=now)
         if heartbeat.leaves:
-            worker.has_left = True
+            worker.has_deregistered = True
         # The end is not known yet if the drain began under an earlier leader.
         if heartbeat.draining and worker.drain_ends_at == float("inf"):
             changes.add(WorkerChange.DRAINS)
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -35,8 +35,6 @@
 RETRY_DELAY_S = 0.4
 LAPSED_CHECK_S = 0.05  # Between checks whether this replica may act as the leader again.
 MAX_RETRY_DELAY_S = 2.0  # Between lease renewals to a worker that does not answer.
-# A worker that has left is assumed to have ended its tasks this long after the session notices it.
-LEAVE_GRACE_S = 0.5
 REMOVE_AFTER_S = 15.0  # Time without heartbeats after which an idle worker is removed.
 MAX_LOGGED_TASKS = 20  # In one log line.
 
@@ -81,7 +79,6 @@
         self._wake = Signal()
         self._cursor = EndCursor()
         self._failed_renewals = 0  # Consecutive ones.
-        self._left_at: float | None = None  # When the session noticed that the worker has left.
         self._skip_wait = False
         self._renewal_scope: anyio.CancelScope | None = None
         self._is_over_capacity = False
@@ -117,18 +114,20 @@
             except WorkerReplacedError:
                 logger.warning("worker replaced at its address", worker=self._worker.id)
                 self._worker.record_replaced()
-                self._left_at = float("-inf")  # Its process has ended, so no grace is needed.
 
     def _is_gone(self) -> bool:
-        worker, now = self._worker, self._timers.now()
-        if worker.has_crashed:
+        """Return whether nothing runs on the worker, and nothing will.
+
+        A deregistration does not show that: a worker that gets no acknowledgement runs on.
+        """
+        worker = self._worker
+        if worker.is_replaced:
             return True
-        if worker.has_left:
-            if self._left_at is None:
-                self._left_at = now
-            return now >= self._left_at + LEAVE_GRACE_S
-        is_silent = now - worker.last_heartbeat_at > REMOVE_AFTER_S
-        return is_silent and not worker.placements and worker.is_reconciled
+        if worker.placements or not worker.is_reconciled:
+            return False
+        if worker.has_deregistered:
+            return not (worker.is_reachable and self._cursor.has_unacknowledged)
+        return self._timers.now() - worker.last_heartbeat_at > REMOVE_AFTER_S
 
     def _needs_renewal(self) -> bool:
         worker = self._worker
@@ -151,8 +150,9 @@
         )
         wait_s = RENEWAL_WAIT_S if may_wait else 0.0
         self._skip_wait = False
-        # The lease of an unreachable worker is not renewed, so that it ends at a known time.
-        is_renewed = worker.is_reachable and worker.lease.is_sampled
+        # The lease of an unreachable worker is not renewed, so that it ends at a known time; nor is
+        # that of a worker that has deregistered, which may end at any moment.
+        is_renewed = worker.is_reachable and worker.lease.is_sampled and not worker.has_deregistered
         deadline = worker.lease.grant(now=sent_at, seconds=self._lease_s) if is_renewed else None
         order = RenewalOrder(
             fencing_token=self._fencing_token,
@@ -251,10 +251,10 @@
         await self._timers.sleep(min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * self._failed_renewals))
 
     async def _report_gone(self) -> None:
-        """Report all tasks as lost of a worker that has left or crashed."""
+        """Report all tasks as lost of a worker that has ended."""
         worker = self._worker
         if not worker.has_crashed:
-            await self._report_all_lost("the worker deregistered")
+            await self._report_all_lost("the worker has left")
             return
         # It may have crashed before its lease expired.
         lapsed, worker.lapsed = worker.lapsed, []
