Don't take a worker at another life's address for this life's successor

Another worker at an address now ends only the life that had the address. A call to it otherwise counts as unanswered, so the lease decides.

--- a/features/same_id.feature
+++ b/features/same_id.feature
@@ -75,3 +75,13 @@
     When a task that waits is started late on a worker, 100 ms before there is room for it
     And the cell runs for 15 seconds
     Then every accepted job succeeded
+
+  # Guards against another worker at the address of an earlier life being taken for a successor.
+  Scenario: Tasks run once if a late heartbeat of an earlier life names an address reused since
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    And a job of 12 tasks of 6 seconds
+    When the cell runs for 1 seconds
+    And a worker whose answers are lost is named at the address of another by a late heartbeat
+    And the cell runs for 20 seconds
+    Then every accepted job succeeded
+    And no scheduling rule was broken
--- a/features/steps/same_id_steps.py
+++ b/features/steps/same_id_steps.py
@@ -3,8 +3,9 @@
 from dewspindle._internal.jobs.gateway import ActiveTask, StartOrder
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
+from dewspindle._internal.schema import jobs_pb2, peers_pb2
 from features.lib.stepping import advance
-from features.steps.job_steps import make_plan, make_step, submit_job
+from features.steps.job_steps import make_plan, make_step, start_in_background, submit_job
 
 
 @given("crashed workers that keep their ids")
@@ -23,6 +24,27 @@
     context.run(restart())
 
 
+@when("a worker whose answers are lost is named at the address of another by a late heartbeat")
+def when_named_elsewhere(context):
+    fleet = context.cell.fleet
+    worker, other = fleet.workers
+    assert worker.runs and other.runs
+    worker.loses_answers = True
+    worker.sends_heartbeats = False
+    message = jobs_pb2.CalledWorker(
+        id=worker.id,
+        pool="pool",
+        address=other.address,
+        capacity=worker.capacity.to_message(),
+        born_ms=worker.born_ms - 60_000,
+    )
+    heartbeat = peers_pb2.WorkerBeat(worker=message, clock_ms=worker.clock_ms, sequence=9)
+    start_in_background(context, fleet.send_to_leader, heartbeat)
+    advance(context, 4)
+    worker.loses_answers = False
+    worker.sends_heartbeats = True
+
+
 @when("{count:d} jobs of {tasks:d} tasks are submitted and {seconds:d} seconds pass")
 def when_jobs_submitted(context, count, tasks, seconds):
     for _ in range(count):
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -240,11 +240,15 @@
         self.consecutive_unanswered_orders = 0
         self.missed_renewal = False
 
-    def record_replaced(self) -> None:
-        """Record that another incarnation answers at the worker's address."""
+    def record_replaced(self) -> bool:
+        """Record that another worker answers at the address; return whether this one has ended."""
+        if self.is_other_life(self.message.born_ms):
+            # The address is that of another life, so this one may run on elsewhere.
+            return False
         if not self.is_replaced:
             self.is_replaced = True
             self.has_crashed = not (self.is_draining or self.has_deregistered)
+        return True
 
     def record_unanswered_start(self, attempt: AttemptKey, now: float) -> None:
         """Record an unanswered start order, which may still arrive."""
--- a/src/dewspindle/_internal/jobs/orders.py
+++ b/src/dewspindle/_internal/jobs/orders.py
@@ -100,7 +100,8 @@
                     worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S
                 )
             except WorkerReplacedError:
-                worker.record_replaced()
+                if not worker.record_replaced():
+                    break
                 self._wake_session(worker.id)
                 return
             except NoDefiniteAnswerError as error:
@@ -179,8 +180,10 @@
             try:
                 answer = await self._gateway.stop(worker.endpoint, order, timeout_s=ORDER_TIMEOUT_S)
             except WorkerReplacedError:
-                worker.record_replaced()
-                break
+                if worker.record_replaced():
+                    break
+                await self._timers.sleep(STOP_RETRY_DELAY_S)
+                continue
             except NoDefiniteAnswerError as error:
                 worker.answer_counts.record(is_answered=False, now=self._timers.now())
                 logger.info("stop unanswered", worker=worker.id, why=str(error))
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -112,8 +112,16 @@
             try:
                 await self._send_renewal()
             except WorkerReplacedError:
-                logger.warning("worker replaced at its address", worker=self._worker.id)
-                self._worker.record_replaced()
+                await self._handle_other_worker()
+
+    async def _handle_other_worker(self) -> None:
+        """Handle a call that another worker has answered."""
+        worker = self._worker
+        if worker.record_replaced():
+            logger.warning("worker replaced at its address", worker=worker.id)
+            return
+        self._cursor.record_no_answer()
+        await self._handle_failed_renewal("another worker has the address of its other life")
 
     def _is_gone(self) -> bool:
         """Return whether nothing runs on the worker, and nothing will.
