Answer a cancellation from what its commit did, also for jobs under way

Cause: the leader looked for the job before it committed a batch, and committed the cancellation only of jobs known by then. A job whose submission was in the same batch, or being committed in another, was not among them; a second look after the commit found it, and 200 was answered. The leader's log has "job accepted" for such a job and no line on its cancellation.

All changes of a batch are now one entry, whose result says what it did to each id, and answers come from that. A cancellation of an unknown job is committed as well: it is answered with 410 as before, and a submission that arrives later is stored as cancelled and starts nothing. It counts for the queue and team of the caller, and is kept for the retention period.

The same cause on related paths: a cancellation before the submission, at the next leader or after a restart; one by another team; and a batch whose leader was deposed between its submissions and its cancellations, which was reported as without effect although its jobs were stored.

--- a/src/dewspindle/_internal/cell/jobs.py
+++ b/src/dewspindle/_internal/cell/jobs.py
@@ -7,6 +7,7 @@
 from ..models.resources import Amounts, make_amounts
 from ..schema import jobs_pb2
 from ..schema.jobs_pb2 import JOB_OPEN
+from .cancelled_ids import CancelledIds
 
 
 class StoredJob:
@@ -136,8 +137,12 @@
 
     def belongs_to(self, queue: jobs_pb2.Queue) -> bool:
         """Return whether the job was submitted to a queue, whatever its settings are by now."""
+        return self.is_of_queue(queue.host, queue.path_prefix)
+
+    def is_of_queue(self, host: str, path_prefix: str) -> bool:
+        """Return whether the job was submitted to the queue at a host and path prefix."""
         own = self._message.queue
-        return (own.host, own.path_prefix) == (queue.host, queue.path_prefix)
+        return (own.host, own.path_prefix) == (host, path_prefix)
 
 
 class JobStore:
@@ -145,6 +150,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[JobId, StoredJob] = {}
+        self.cancelled_ids = CancelledIds()
         self.workers: dict[str, jobs_pb2.CalledWorker] = {}
         self._queue_table = jobs_pb2.QueueTable()
         self._teams: dict[str, jobs_pb2.Team] = {}
@@ -204,8 +210,10 @@
         jobs: Iterable[jobs_pb2.Job],
         workers: Iterable[jobs_pb2.CalledWorker],
         queue_table: jobs_pb2.QueueTable,
+        cancelled_ids: Iterable[jobs_pb2.JobCancellation],
     ) -> None:
         """Load the jobs, workers and queues of a snapshot."""
+        self.cancelled_ids = CancelledIds(cancelled_ids)
         for message in jobs:
             self.add(message)
         self.workers = {worker.id: worker for worker in workers}
--- a/src/dewspindle/_internal/cell/state.py
+++ b/src/dewspindle/_internal/cell/state.py
@@ -12,7 +12,7 @@
 from .registry import get_applier
 from .worker_table import WorkerTable
 
-SNAPSHOT_FORMAT = 1
+SNAPSHOT_FORMAT = 2
 
 
 class CellState:
@@ -112,6 +112,7 @@
             jobs=[job.message for job in self.job_store.jobs.values()],
             called_workers=self.job_store.workers.values(),
             queue_table=self.job_store.queue_table,
+            cancelled_ids=self.job_store.cancelled_ids,
         )
         return snapshot.SerializeToString()
 
@@ -133,7 +134,9 @@
         self.config = {entry.name: entry for entry in snapshot.config}
         self.config_versions = list(snapshot.config_versions)
         self.outcomes.restore(snapshot.outcomes)
-        self.job_store.restore(snapshot.jobs, snapshot.called_workers, snapshot.queue_table)
+        self.job_store.restore(
+            snapshot.jobs, snapshot.called_workers, snapshot.queue_table, snapshot.cancelled_ids
+        )
         self.estimates = {(item.team, item.name): item for item in snapshot.learnt}
         self.claims = {claim.key: claim for claim in snapshot.claims}
         self.largest_fleet = make_amounts(snapshot.largest_fleet)
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -9,8 +9,18 @@
 from ..scheduling.admission import Admission, AdmissionControl, JobDemand
 from ..scheduling.team_caps import make_cap
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
-from ..schema.jobs_pb2 import JOB_CANCELLED, JOB_FAILED, JOB_SUCCEEDED
-from ..schema.peers_pb2 import JOB_CANCEL, JOB_READ, JOB_SUBMIT, JobAnswer, JobRequest
+from ..schema.jobs_pb2 import (
+    JOB_CANCELLED,
+    JOB_CHANGE_CANCELLED_BEFORE,
+    JOB_CHANGE_DONE,
+    JOB_CHANGE_ID_IN_USE,
+    JOB_CHANGE_NO_SUCH_JOB,
+    JOB_CHANGE_OTHER_TEAM,
+    JOB_FAILED,
+    JOB_SUCCEEDED,
+    JobChange,
+)
+from ..schema.peers_pb2 import JOB_CANCEL, JOB_SUBMIT, JobAnswer, JobRequest
 from ..utils.logs import get_logger
 from ..utils.metrics import Metrics
 from ..utils.refusals import Refusal
@@ -21,6 +31,9 @@
 
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024  # Of a submission, where the queue table sets no limit.
 NOT_CONFIGURED_RETRY_MS = 1000  # At start-up callers may come before the first queue table.
+# Cancellations of unknown jobs that are remembered for the retention period, some 0.5 KB each.
+MAX_CANCELLED_IDS = 20_000
+CANCELLED_IDS_RETRY_MS = 10_000  # Expired ones are forgotten about as often.
 
 _STATUSES = {
     JOB_SUCCEEDED: JobStatus.SUCCEEDED,
@@ -61,6 +74,15 @@
     )
 
 
+class _Batch:
+    """Requests that are committed together, by their number."""
+
+    def __init__(self, size: int) -> None:
+        self.answers: list[JobAnswer | None] = [None] * size
+        self.submissions: dict[int, jobs_pb2.Job] = {}
+        self.cancellations: dict[int, jobs_pb2.JobCancellation] = {}
+
+
 class JobRequestHandler:
     """Accepts, reads and cancels jobs while this instance leads."""
 
@@ -88,29 +110,29 @@
 
     async def answer(self, request: peers_pb2.RelayJobsRequest) -> peers_pb2.RelayJobsAnswer:
         """Commit the changes of a batch together, then answer its requests."""
-        answers: list[JobAnswer | None] = [None] * len(request.requests)
-        submits: list[jobs_pb2.Job] = []
-        cancels: list[str] = []
+        batch = _Batch(len(request.requests))
         for number, item in enumerate(request.requests):
-            queue = self._store.find_queue(item.host, item.path)
-            if queue is None:
-                answers[number] = self._refuse_without_queue(item)
-                continue
-            team = self._store.find_team_by_key(item.key_digest)
-            answers[number] = self._check_key(item, queue, team)
-            if answers[number] is not None:
-                continue
-            if item.call == JOB_SUBMIT:
-                answers[number] = self._prepare_submission(item, queue, team, submits)
-            elif item.call == JOB_CANCEL:
-                job = self._find_job(item, queue)
-                if job is not None:
-                    cancels.append(job.id)
-        await self._commit(submits, cancels)
+            batch.answers[number] = self._prepare(batch, number, item)
+        await self._commit(request, batch)
         for number, item in enumerate(request.requests):
-            if answers[number] is None:
-                answers[number] = self._make_answer(item)
-        return peers_pb2.RelayJobsAnswer(answers=[a for a in answers if a is not None])
+            if batch.answers[number] is None:
+                batch.answers[number] = self._answer_read(item)
+        return peers_pb2.RelayJobsAnswer(answers=[a for a in batch.answers if a is not None])
+
+    def _prepare(self, batch: _Batch, number: int, item: JobRequest) -> JobAnswer | None:
+        """Return the answer to a request that needs no commit; add its change to the batch."""
+        queue = self._store.find_queue(item.host, item.path)
+        if queue is None:
+            return self._refuse_without_queue(item)
+        team = self._store.find_team_by_key(item.key_digest)
+        refusal = self._check_key(item, queue, team)
+        if refusal is not None:
+            return refusal
+        if item.call == JOB_SUBMIT:
+            return self._prepare_submission(batch, number, item, queue=queue, team=team)
+        if item.call == JOB_CANCEL:
+            return self._prepare_cancellation(batch, number, item, queue=queue, team=team)
+        return None
 
     def _check_key(
         self, item: JobRequest, queue: jobs_pb2.Queue, team: jobs_pb2.Team | None
@@ -129,7 +151,7 @@
         if job is None or not job.team or (team is not None and team.name == job.team):
             return None
         if item.call == JOB_SUBMIT:
-            return self._refuse(item, Refusal.JOB_ID_IN_USE, 409)
+            return self._refuse_used_id(item)
         return self._refuse(item, Refusal.OTHER_TEAM, 403)
 
     def _is_resent(self, item: JobRequest, queue: jobs_pb2.Queue, job: StoredJob | None) -> bool:
@@ -142,22 +164,57 @@
 
     def _prepare_submission(
         self,
+        batch: _Batch,
+        number: int,
         item: JobRequest,
+        *,
         queue: jobs_pb2.Queue,
         team: jobs_pb2.Team | None,
-        submits: list[jobs_pb2.Job],
     ) -> JobAnswer | None:
-        """Add the job to those to commit, or return the refusal of its submission."""
+        """Add the job to those to commit, or return the answer to its submission."""
         refusal = self._check_submission(item, queue)
         if refusal is not None:
             return refusal
         job = self._make_job(item, queue)
-        is_new = job.id not in self._store.jobs and job.id not in self._committing
-        if team is not None and is_new:
+        known = self._store.jobs.get(JobId(job.id))
+        if known is not None:
+            is_resent = known.belongs_to(queue)
+            return JobAnswer(status=200) if is_resent else self._refuse_used_id(item)
+        if team is not None and job.id not in self._committing:
             refusal = self._admit(item, job, team)
             if refusal is not None:
                 return refusal
-        submits.append(job)
+        batch.submissions[number] = job
+        return None
+
+    def _prepare_cancellation(
+        self,
+        batch: _Batch,
+        number: int,
+        item: JobRequest,
+        *,
+        queue: jobs_pb2.Queue,
+        team: jobs_pb2.Team | None,
+    ) -> JobAnswer | None:
+        """Add the cancellation to those to commit, or return its answer.
+
+        That of an unknown job is committed as well, as a submission may be under way.
+        """
+        job = self._find_job(item, queue)
+        if job is not None and not job.is_open:
+            return JobAnswer(status=200)
+        job_id = item.path[len(queue.path_prefix) :]
+        if not is_valid_job_id(job_id):
+            return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
+        if job is None and len(self._store.cancelled_ids) >= MAX_CANCELLED_IDS:
+            retry_after_ms = CANCELLED_IDS_RETRY_MS
+            return self._refuse(item, Refusal.OVERLOADED, 503, retry_after_ms=retry_after_ms)
+        batch.cancellations[number] = jobs_pb2.JobCancellation(
+            id=job_id,
+            host=queue.host,
+            path_prefix=queue.path_prefix,
+            team="" if team is None else team.name,
+        )
         return None
 
     def _admit(self, item: JobRequest, job: jobs_pb2.Job, team: jobs_pb2.Team) -> JobAnswer | None:
@@ -196,30 +253,65 @@
     def _make_job(self, item: JobRequest, queue: jobs_pb2.Queue) -> jobs_pb2.Job:
         return jobs_pb2.Job(id=item.path[len(queue.path_prefix) :], queue=queue, spec=item.spec)
 
-    async def _commit(self, submits: list[jobs_pb2.Job], cancels: list[str]) -> None:
-        new = [job for job in submits if job.id not in self._store.jobs]
-        if new:
-            submit = jobs_pb2.SubmitJobs(jobs=new)
-            self._committing.update((job.id, job.key_digest) for job in new)
-            try:
-                await self._replica.propose(cell_pb2.Command(submit_jobs=submit))
-            finally:
-                for job in new:
-                    self._committing.pop(job.id, None)
-            for job in new:
-                self._counters.count_accepted(job.team, is_beyond_share=job.is_beyond_share)
-                logger.info(
-                    "job accepted",
-                    job=job.id,
-                    queue=job.queue.name,
-                    team=job.team,
-                    is_beyond_share=job.is_beyond_share,
-                )
-        if cancels:
-            cancel = jobs_pb2.CancelJobs(ids=cancels)
-            await self._replica.propose(cell_pb2.Command(cancel_jobs=cancel))
-            # Unknown jobs and those that had ended are logged as well.
-            logger.info("jobs cancelled", jobs=cancels)
+    async def _commit(self, request: peers_pb2.RelayJobsRequest, batch: _Batch) -> None:
+        """Commit the changes of a batch, and answer their requests by what the commit has done.
+
+        All changes are one entry, so an error tells whether they may have had an effect.
+        """
+        if not batch.submissions and not batch.cancellations:
+            return
+        jobs = list(batch.submissions.values())
+        cancellations = list(batch.cancellations.values())
+        changes = jobs_pb2.ChangeJobs(submissions=jobs, cancellations=cancellations)
+        self._committing.update((job.id, job.key_digest) for job in jobs)
+        try:
+            result = await self._replica.propose(cell_pb2.Command(change_jobs=changes))
+        finally:
+            for job in jobs:
+                self._committing.pop(job.id, None)
+        for (number, job), change in zip(
+            batch.submissions.items(), result.submissions, strict=True
+        ):
+            batch.answers[number] = self._answer_submission(request.requests[number], job, change)
+        for (number, cancellation), change in zip(
+            batch.cancellations.items(), result.cancellations, strict=True
+        ):
+            batch.answers[number] = self._answer_cancellation(
+                request.requests[number], cancellation, change
+            )
+
+    def _answer_submission(
+        self, item: JobRequest, job: jobs_pb2.Job, change: JobChange.ValueType
+    ) -> JobAnswer:
+        if change == JOB_CHANGE_ID_IN_USE:
+            return self._refuse_used_id(item)
+        if change == JOB_CHANGE_DONE:
+            self._counters.count_accepted(job.team, is_beyond_share=job.is_beyond_share)
+        logger.info(
+            "job accepted",
+            job=job.id,
+            queue=job.queue.name,
+            team=job.team,
+            is_beyond_share=job.is_beyond_share,
+            was_cancelled=change == JOB_CHANGE_CANCELLED_BEFORE,
+        )
+        return JobAnswer(status=200)
+
+    def _answer_cancellation(
+        self,
+        item: JobRequest,
+        cancellation: jobs_pb2.JobCancellation,
+        change: JobChange.ValueType,
+    ) -> JobAnswer:
+        if change == JOB_CHANGE_NO_SUCH_JOB:
+            return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
+        if change == JOB_CHANGE_OTHER_TEAM:
+            return self._refuse(item, Refusal.OTHER_TEAM, 403)
+        logger.info("job cancelled", job=cancellation.id)
+        return JobAnswer(status=200)
+
+    def _refuse_used_id(self, item: JobRequest) -> JobAnswer:
+        return self._refuse(item, Refusal.JOB_ID_IN_USE, 409)
 
     def _refuse_without_queue(self, item: JobRequest) -> JobAnswer:
         if self._store.queue_table.version == 0:
@@ -251,22 +343,16 @@
         )
         return JobAnswer(status=status, code=refusal.value, retry_after_ms=retry_after_ms)
 
-    def _make_answer(self, item: JobRequest) -> JobAnswer:
+    def _answer_read(self, item: JobRequest) -> JobAnswer:
         queue = self._store.find_queue(item.host, item.path)
         if queue is None:
-            # A submission that was committed before the queue was removed is accepted all the same.
-            is_accepted = item.call == JOB_SUBMIT
-            return JobAnswer(status=200) if is_accepted else self._refuse_without_queue(item)
-        if item.call == JOB_READ and item.path == queue.path_prefix:
+            return self._refuse_without_queue(item)
+        if item.path == queue.path_prefix:
             waiting = self._jobs.count_waiting(queue)
             return JobAnswer(status=200, counted=True, waiting=waiting)
         job = self._find_job(item, queue)
-        if job is None and item.call == JOB_SUBMIT:
-            return self._refuse(item, Refusal.JOB_ID_IN_USE, 409)
         if job is None:
             return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
-        if item.call != JOB_READ:
-            return JobAnswer(status=200)
         return JobAnswer(status=200, state=self._get_status(job).value)
 
     def _get_status(self, job: StoredJob) -> JobStatus:
