Acknowledge a repeated heartbeat only once what it says is recorded

The first heartbeat that says that a worker drains waits until that is recorded, but a second one found nothing changed and was answered at once.

A heartbeat now also waits for changes of earlier ones that are not recorded yet. The new scenario of leaving.feature failed before: the second heartbeat was acknowledged while the leader could commit nothing.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -51,3 +51,9 @@
     And the cell runs for 20 seconds
     Then every accepted job succeeded
     And no scheduling rule was broken
+
+  # Guards against a next leader that starts tasks on a worker whose drain was acknowledged.
+  Scenario: A repeated heartbeat of a draining worker is acknowledged only once the drain is recorded
+    Given a cell of 3 replicas whose leader sends orders to 2 workers
+    When a worker reports twice that it drains while nothing can be committed
+    Then neither heartbeat is acknowledged before the leader lease is over
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -95,6 +95,8 @@
     # It has shrunk below what its tasks take, which go on.
     is_overfull: bool = False
     heartbeat_sequence: int = -1
+    changes: int = 0  # Of what heartbeats said, since this leader knows the worker.
+    recorded_changes: int = 0  # Those that are in the replicated state.
     is_draining: bool = False
     drain_ends_at: float = float("inf")
     # It has announced its end. Its tasks may run on, as the acknowledgement may be lost.
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -105,7 +105,10 @@
             logger.info("worker drains", worker=worker.id, remaining_ms=heartbeat.remaining_ms)
             self._on_draining(worker)
         if changes:
+            worker.changes += 1
             self._on_fleet_changed()
+        # Also for a repeated heartbeat, whose answer promises the same.
+        if worker.recorded_changes < worker.changes:
             await self._record_changes(worker)
         if heartbeat.leaves:  # It has deregistered, unlike one that drains.
             logger.info("worker leaves", worker=worker.id, tasks=len(worker.placements))
@@ -124,8 +127,10 @@
         changed.CopyFrom(worker.message)
         changed.draining = worker.is_draining
         changed.sequence = max(0, worker.heartbeat_sequence)
+        number = worker.changes
         command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[changed]))
         await self._replica.propose(command)
+        worker.recorded_changes = max(worker.recorded_changes, number)
 
     async def _record_worker(self, heartbeat: peers_pb2.WorkerBeat) -> FleetWorker | None:
         """Record a worker in the replicated state before any task starts there."""
