--- a/features/lib/disk.py
+++ b/features/lib/disk.py
@@ -5,12 +5,21 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Protocol
 from unittest import mock
 
 from dewspindle._internal.exceptions import SyncFailedError
 from dewspindle._internal.replication.disk import Disk
 
 
+class HasFolder(Protocol):
+    """Something with a data folder."""
+
+    @property
+    def folder(self) -> Path:
+        """Return the data folder."""
+
+
 class MemoryDisk(Disk):
     """Leaves written data in the page cache, so that no operation waits for the machine's disk."""
 
@@ -41,14 +50,27 @@
         self.refused = frozenset({"create", "write"})
         self.small_write_bytes = 0
         self._room: int | None = None  # Bytes until the disk is full; None if it has space.
+        self._node: HasFolder | None = None  # Whose files share the size of the disk.
+        self._size = 0
         self._unsynced: dict[int, list[tuple[int, bytes]]] = {}
 
     def fill_after(self, room: int) -> None:
         """Let the disk be full once no more than a number of bytes have been written."""
         self._room = room
 
+    def limit_size(self, node: "HasFolder", size: int) -> None:
+        """Let the disk be full while the files of a node take its size in bytes."""
+        self._node, self._size = node, size
+
+    def _has_room(self, needed: int) -> bool:
+        if self._node is None:
+            return True
+        files = [path for path in self._node.folder.rglob("*") if path.is_file()]
+        unsynced = sum(len(data) for items in self._unsynced.values() for _, data in items)
+        return sum(path.stat().st_size for path in files) + unsynced + needed <= self._size
+
     def free(self) -> None:
-        """Remove all faults."""
+        """Remove all faults, but keep the size."""
         self.is_full = False
         self.fails_sync = False
         self.delay_s = 0.0
@@ -67,7 +89,8 @@
         if self._room is not None:
             self.is_full = self.is_full or len(data) > self._room
             self._room = max(0, self._room - len(data))
-        if self._refuses("write") and len(data) > self.small_write_bytes:
+        is_refused = self._refuses("write") and len(data) > self.small_write_bytes
+        if is_refused or not self._has_room(len(data)):
             with run_out_of_space("pwrite"):
                 super().write(descriptor, data, offset=offset)
         self._unsynced.setdefault(descriptor, []).append((offset, data))
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -125,6 +125,7 @@
         context.folder,
         segment_bytes=500,
         retained_entries=0,
+        retained_bytes=0,
         disk=Disk(),
         offload=call_directly,
     )
--- a/src/dewspindle/_internal/platform/instance_settings.py
+++ b/src/dewspindle/_internal/platform/instance_settings.py
@@ -11,11 +11,18 @@
 REPLACE_SILENT_MS = 8000
 READY_DELAY_MS = 3500  # Two load balancer probes, 1 s apart, and a margin.
 
+DEFAULT_DISK_MB = 128  # Where the platform names no size.
+# Shares of the data disk. The rest is for the snapshots, of which three exist for a moment.
+SNAPSHOT_SHARE = 0.125
+RETAINED_SHARE = 0.0625
+SEGMENT_SHARE = 0.03125
+
 
 def make_instance_settings(platform: PlatformSettings) -> settings_pb2.Settings:
     """Return the settings of one instance on the platform."""
     seeds = ",".join(f"{host}:{platform.peer_port}" for host in platform.seed_hosts)
     own_address = f"{platform.ip}:{platform.peer_port}"
+    disk_bytes = (platform.disk_mb or DEFAULT_DISK_MB) * 1024 * 1024
     return load_settings(
         {
             "instance_id": platform.instance_id,
@@ -37,7 +44,9 @@
             "ready_delay_ms": str(min(READY_DELAY_MS, platform.grace_ms // 2)),
             "snapshot_entries": "5000",
             "retained_entries": "1000",
-            "segment_bytes": str(4 * 1024 * 1024),
+            "segment_bytes": str(int(SEGMENT_SHARE * disk_bytes)),
+            "snapshot_bytes": str(int(SNAPSHOT_SHARE * disk_bytes)),
+            "retained_bytes": str(int(RETAINED_SHARE * disk_bytes)),
         },
         environment={},
     )
--- a/src/dewspindle/_internal/platform/settings_file.py
+++ b/src/dewspindle/_internal/platform/settings_file.py
@@ -31,6 +31,7 @@
     grace_ms: int  # Time between a stop request and the kill of the process.
     heartbeat_interval_ms: int  # Of workers.
     sheds_load: bool  # Callers compete for capacity, and late refusals harm them.
+    disk_mb: int  # Size of the data disk; 0 if it is not known, or on an instance without one.
     contact_timeout_ms: int  # Within which this and a heartbeat a shrunk worker must be known.
 
 
@@ -76,6 +77,7 @@
         early_ms=_read_integer(fields, "policy_limits.early_ms", default=0),
         heartbeat_interval_ms=_read_integer(fields, "heartbeat_interval_ms", default=1500),
         sheds_load="pressure" in fields.get("policies", "").split(","),
+        disk_mb=_read_integer(fields, "limits.disk_mb", default=0),
         contact_timeout_ms=_read_integer(fields, "policy_limits.contact_timeout_ms", default=3000),
         grace_ms=int(1000 * _read_number(fields, "policy_limits.grace_period_s", default=6.0)),
     )
--- a/src/dewspindle/_internal/replication/log.py
+++ b/src/dewspindle/_internal/replication/log.py
@@ -11,6 +11,7 @@
 from ..exceptions import CorruptLogError, DiskFullError
 from ..schema import cell_pb2, peers_pb2
 from .disk import Disk
+from .entry_sizes import EntrySizes
 from .log_store import LogStore
 from .snapshots import SnapshotStore, StoredSnapshot
 
@@ -42,15 +43,18 @@
         *,
         segment_bytes: int,
         retained_entries: int,
+        retained_bytes: int,
         disk: Disk,
         offload: Offload = run_in_thread,
     ) -> None:
         self._store = LogStore(folder / "log", segment_bytes=segment_bytes, disk=disk)
         self._snapshots = SnapshotStore(folder / "snapshots", disk=disk)
         self._retained_entries = retained_entries
+        self._retained_bytes = retained_bytes
         self._offload = offload
         self._lock = anyio.Lock()
         self._entries: list[peers_pb2.Entry] = []
+        self._sizes = EntrySizes()
         self._base_index = 0
         self._base_term = 0
         self._durable_index = 0
@@ -137,21 +141,19 @@
         return entries[snapshot.index - entries[0].index].term == snapshot.term
 
     def _set_base(self, entries: list[peers_pb2.Entry]) -> None:
+        self._base_index, self._base_term, self._entries = self._find_base(entries)
+        for entry in self._entries:
+            self._sizes.add(entry)
+
+    def _find_base(self, entries: list[peers_pb2.Entry]) -> tuple[int, int, list[peers_pb2.Entry]]:
+        """Return the index and term of the base, and the entries after it."""
         snapshot = self._snapshot
         if snapshot and (not entries or entries[0].index == snapshot.index + 1):
-            self._base_index = snapshot.index
-            self._base_term = snapshot.term
-            self._entries = entries
-            return
+            return snapshot.index, snapshot.term, entries
         if not entries or entries[0].index == 1:
-            self._base_index = 0
-            self._base_term = 0
-            self._entries = entries
-            return
+            return 0, 0, entries
         # The term before the first stored entry is unknown, so the base is that entry itself.
-        self._base_index = entries[0].index
-        self._base_term = entries[0].term
-        self._entries = entries[1:]
+        return entries[0].index, entries[0].term, entries[1:]
 
     def _record_membership(self, entry: peers_pb2.Entry) -> None:
         if entry.membership:
@@ -179,9 +181,15 @@
             found.append(entry)
         return found
 
+    def count_bytes(self, after: int, through: int) -> int:
+        """Return the size of the retained entries after an index through another one."""
+        start = max(0, after - self._base_index)
+        return self._sizes.count_bytes(start, max(start, through - self._base_index))
+
     def add(self, entry: peers_pb2.Entry) -> None:
         """Add an entry in memory; `flush` makes it durable."""
         self._entries.append(entry)
+        self._sizes.add(entry)
         self._record_membership(entry)
 
     @asynccontextmanager
@@ -220,6 +228,7 @@
 
     def _drop_from(self, index: int) -> None:
         del self._entries[index - self._base_index - 1 :]
+        self._sizes.drop_from(index - self._base_index - 1)
         self._durable_index = min(self._durable_index, index - 1)
         while self._memberships and self._memberships[-1][0] >= index:
             self._memberships.pop()
@@ -229,13 +238,23 @@
         await self._offload(self._snapshots.save, snapshot)
         async with self._lock:
             self._snapshot = snapshot
-            base = max(self._base_index, snapshot.index - self._retained_entries)
-            base_term = self.get_term(base)
-            assert base_term is not None
-            del self._entries[: base - self._base_index]
-            self._base_index = base
-            self._base_term = base_term
-            await self._offload(self._store.remove_through, base)
+            await self._remove_through(self._find_retained(snapshot.index))
+
+    def _find_retained(self, index: int) -> int:
+        """Return the index after which entries are retained, of those through another one."""
+        by_bytes = self._sizes.find_start(index - self._base_index, max_bytes=self._retained_bytes)
+        return max(self._base_index + by_bytes, index - self._retained_entries)
+
+    async def _remove_through(self, index: int) -> None:
+        """Remove the entries through an index; the caller holds the lock."""
+        base = max(self._base_index, index)
+        base_term = self.get_term(base)
+        assert base_term is not None
+        del self._entries[: base - self._base_index]
+        self._sizes.drop_first(base - self._base_index)
+        self._base_index = base
+        self._base_term = base_term
+        await self._offload(self._store.remove_through, base)
 
     async def install_snapshot(self, snapshot: StoredSnapshot) -> None:
         """Replace the whole log with a snapshot from the leader."""
@@ -243,6 +262,7 @@
         async with self._lock:
             await self._offload(self._store.remove_all)
             self._entries = []
+            self._sizes = EntrySizes()
             self._base_index = snapshot.index
             self._base_term = snapshot.term
             self._durable_index = snapshot.index
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -68,6 +68,7 @@
         folder,
         segment_bytes=settings.segment_bytes,
         retained_entries=settings.retained_entries,
+        retained_bytes=settings.retained_bytes,
         disk=disk,
         offload=offload,
     )
@@ -243,14 +244,24 @@
         context.view.finish_batch()
         context.state_changed.set()
 
+    def _is_snapshot_due(self) -> bool:
+        settings, log, revision = (
+            self._context.settings,
+            self._context.log,
+            self._context.view.revision,
+        )
+        if revision == log.snapshot_index:
+            return False
+        return (
+            revision - log.snapshot_index >= settings.snapshot_entries
+            or log.count_bytes(log.snapshot_index, revision) >= settings.snapshot_bytes
+        )
+
     async def _save_snapshots(self) -> None:
         context = self._context
         while True:
             event = context.state_changed.event
-            if (
-                context.view.revision - context.log.snapshot_index
-                < context.settings.snapshot_entries
-            ):
+            if not self._is_snapshot_due():
                 await event.wait()
                 continue
             try:
