--- a/features/disk_space.feature
+++ b/features/disk_space.feature
@@ -13,3 +13,21 @@
       | the leader is killed twice                    |
       | one replica is cut off for a part of the time |
       | all replicas are killed and restarted         |
+
+  # Guards against a replica that has no room for a write beside files that no restart would read.
+  Scenario Outline: A full disk has room for <write> once spare files are removed
+    Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
+    When the log is asked to store <write>
+    Then it is stored, and loaded after a restart
+
+    Examples:
+      | write                          |
+      | a batch of 1500 KB             |
+      | a snapshot of 1500 KB          |
+      | a leader's snapshot of 1500 KB |
+
+  # Guards against the removal of the only snapshot that can be read.
+  Scenario: A full disk keeps the snapshot in use where a newer one is damaged
+    Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
+    When its newer snapshot is damaged, the log is loaded and a batch of 1500 KB is stored
+    Then the log can be loaded again
--- a/features/steps/disk_space_steps.py
+++ b/features/steps/disk_space_steps.py
@@ -1,18 +1,27 @@
+import contextlib
+
 from behave import given, then, when
 
-from dewspindle._internal.exceptions import DewspindleError
+from dewspindle._internal.exceptions import DewspindleError, DiskFullError
 from dewspindle._internal.platform.instance_settings import make_instance_settings
 from dewspindle._internal.platform.settings_file import decode_platform_settings
+from dewspindle._internal.replication.log import Log
+from dewspindle._internal.replication.snapshots import StoredSnapshot
 from dewspindle._internal.schema import cell_pb2, jobs_pb2
+from dewspindle._internal.schema.peers_pb2 import Entry
 from dewspindle._internal.settings.loading import get_setting_fields
+from features.lib.disk import FaultyDisk
 from features.lib.stepping import advance
 from features.steps.replication_steps import make_cell, start_cell
+from features.steps.storage_steps import call_directly
 
 SENDERS = 4  # Tables in progress at the same time.
 SEND_INTERVAL_S = 0.1  # So that some are sent before, during and after each fault.
 ATTEMPT_TIMEOUT_S = 2.0
 FAULT_INTERVAL_S = 2.0
 MAX_SECONDS = 90
+KB = 1024
+ENTRY_KB = 100
 SETTINGS_FILE = """
 node_name=r
 zone=z
@@ -149,3 +158,102 @@
     for node in cell.nodes:
         table = node.replica.context.view.state.job_store.queue_table
         assert table.version == context.sender.count, (node.name, table.version)
+
+
+class LogFolder:
+    """A log on a disk of limited size, as one replica stores it."""
+
+    def __init__(self, context):
+        self.folder = context.folder
+        self.disk = FaultyDisk()
+        self.log = self.open()
+        context.closers.append(lambda: self.log.close())
+
+    def open(self):
+        log = Log(
+            self.folder,
+            segment_bytes=256 * KB,
+            retained_entries=1000,
+            retained_bytes=KB * KB,
+            disk=self.disk,
+            offload=call_directly,
+        )
+        log.load()
+        return log
+
+    def restart(self):
+        self.log.close()
+        self.disk.crash()
+        self.log = self.open()
+
+    async def append(self, count, *, size_kb=ENTRY_KB):
+        for _ in range(count):
+            entry = Entry(index=self.log.last_index + 1, term=1, command=bytes(size_kb * KB))
+            self.log.add(entry)
+            await self.log.flush()
+
+    def make_snapshot(self, index, *, size_kb):
+        state = cell_pb2.CellSnapshot(revision=index, term=1)
+        state.queue_table.document = bytes(size_kb * KB)
+        return StoredSnapshot(index=index, term=1, data=state.SerializeToString())
+
+    async def write(self, what):
+        """Store a batch or a snapshot, and return the index of the last entry that it holds."""
+        size_kb = int(what.split()[-2])
+        if "batch" in what:
+            await self.append(1, size_kb=size_kb)
+        elif "leader" in what:
+            await self.log.install_snapshot(self.make_snapshot(50, size_kb=size_kb))
+        else:
+            await self.append(1)
+            await self.log.save_snapshot(self.make_snapshot(21, size_kb=size_kb))
+        return self.log.last_index
+
+
+@given(
+    "a log on a disk of {disk_mb:d} MB with two snapshots of 1 MB and 1 MB of entries before "
+    "the newer one"
+)
+def given_log_folder(context, disk_mb):
+    context.stored = stored = LogFolder(context)
+
+    async def fill():
+        for index in (10, 20):
+            await stored.append(10)
+            await stored.log.save_snapshot(stored.make_snapshot(index, size_kb=KB))
+
+    context.run(fill())
+    stored.disk.limit_size(stored, disk_mb * KB * KB)
+    assert len(list(stored.folder.glob("snapshots/*"))) == 2
+
+
+@when("the log is asked to store {what}")
+def when_written(context, what):
+    context.last_index = context.run(context.stored.write(what))
+
+
+@then("it is stored, and loaded after a restart")
+def then_stored(context):
+    context.stored.restart()
+    assert context.stored.log.last_index == context.last_index
+
+
+@when("its newer snapshot is damaged, the log is loaded and a batch of {size_kb:d} KB is stored")
+def when_damaged(context, size_kb):
+    stored = context.stored
+    path = max(stored.folder.glob("snapshots/*"))
+    path.write_bytes(path.read_bytes()[:-1])
+    stored.restart()
+    assert stored.log.snapshot_index == 10
+
+    async def append():
+        with contextlib.suppress(DiskFullError):
+            await stored.append(1, size_kb=size_kb)
+
+    context.run(append())
+
+
+@then("the log can be loaded again")
+def then_loaded(context):
+    context.stored.restart()
+    assert context.stored.log.snapshot_index == 10
--- a/src/dewspindle/_internal/replication/log.py
+++ b/src/dewspindle/_internal/replication/log.py
@@ -10,6 +10,7 @@
 
 from ..exceptions import CorruptLogError, DiskFullError
 from ..schema import cell_pb2, peers_pb2
+from ..utils.logs import get_logger
 from .disk import Disk
 from .entry_sizes import EntrySizes
 from .log_store import LogStore
@@ -17,6 +18,8 @@
 
 T = TypeVar("T")
 
+logger = get_logger(__name__)
+
 
 class Offload(Protocol):
     """Runs a blocking call away from the event loop."""
@@ -204,8 +207,8 @@
     async def flush(self) -> None:
         """Write and sync all entries that are not durable yet, in one batch.
 
-        A full disk drops them all. Each call that waits for one of them then raises
-        `DiskFullError`.
+        A full disk drops them all, unless files that are not needed make room. Each call that waits
+        for one of them then raises `DiskFullError`.
         """
         async with self._lock_end():
             start = self._durable_index
@@ -213,13 +216,21 @@
             if not batch:
                 return
             try:
-                await self._offload(self._store.append, batch)
+                await self._append(batch)
             except DiskFullError:
                 self._dropped_batches += 1
                 self._drop_from(start + 1)
                 raise
             self._durable_index = start + len(batch)
 
+    async def _append(self, batch: list[peers_pb2.Entry]) -> None:
+        try:
+            await self._offload(self._store.append, batch)
+        except DiskFullError:
+            if not await self._remove_spare():
+                raise
+            await self._offload(self._store.append, batch)
+
     async def truncate_from(self, index: int) -> None:
         """Remove the entry at an index and all entries after it."""
         async with self._lock_end():
@@ -235,11 +246,20 @@
 
     async def save_snapshot(self, snapshot: StoredSnapshot) -> None:
         """Write a snapshot and remove the entries that need no longer be retained."""
-        await self._offload(self._snapshots.save, snapshot)
+        await self._store_snapshot(snapshot)
         async with self._lock:
             self._snapshot = snapshot
             await self._remove_through(self._find_retained(snapshot.index))
 
+    async def _store_snapshot(self, snapshot: StoredSnapshot) -> None:
+        try:
+            await self._offload(self._snapshots.save, snapshot)
+        except DiskFullError:
+            async with self._lock:
+                if not await self._remove_spare():
+                    raise
+            await self._offload(self._snapshots.save, snapshot)
+
     def _find_retained(self, index: int) -> int:
         """Return the index after which entries are retained, of those through another one."""
         by_bytes = self._sizes.find_start(index - self._base_index, max_bytes=self._retained_bytes)
@@ -256,9 +276,30 @@
         self._base_term = base_term
         await self._offload(self._store.remove_through, base)
 
+    async def _remove_spare(self) -> bool:
+        """Remove what a restart does not need, and return whether there was anything.
+
+        Slow peers then need a snapshot, and a damaged newest snapshot has no predecessor. The
+        caller holds the lock.
+        """
+        snapshot = self._snapshot
+        if snapshot is None:
+            return False
+        segments = self._store.segment_count
+        has_older = await self._offload(self._snapshots.remove_before, snapshot.index)
+        await self._remove_through(snapshot.index)
+        is_smaller = has_older or self._store.segment_count < segments
+        if is_smaller:
+            logger.warning(
+                "disk full; removed older snapshots and entries before the newest one",
+                snapshot_bytes=len(snapshot.data),
+                log_bytes=self.count_bytes(self._base_index, self.last_index),
+            )
+        return is_smaller
+
     async def install_snapshot(self, snapshot: StoredSnapshot) -> None:
         """Replace the whole log with a snapshot from the leader."""
-        await self._offload(self._snapshots.save, snapshot)
+        await self._store_snapshot(snapshot)
         async with self._lock:
             await self._offload(self._store.remove_all)
             self._entries = []
--- a/src/dewspindle/_internal/replication/snapshots.py
+++ b/src/dewspindle/_internal/replication/snapshots.py
@@ -50,6 +50,21 @@
         """Write a snapshot durably and remove the oldest ones."""
         path = self._folder / f"{snapshot.index:020d}-{snapshot.term}{SNAPSHOT_SUFFIX}"
         self._disk.replace_file(path, add_checksum(snapshot.data))
-        for old in self._list_newest_first()[KEPT_SNAPSHOTS:]:
-            self._disk.remove(old)
-        self._disk.sync_folder(self._folder)
+        self._remove(self._list_newest_first()[KEPT_SNAPSHOTS:])
+
+    def remove_before(self, index: int) -> bool:
+        """Remove the snapshots before the one of an index, and return whether there were any."""
+        return self._remove(
+            [path for path in self._list_newest_first() if _get_index(path) < index]
+        )
+
+    def _remove(self, paths: list[Path]) -> bool:
+        for path in paths:
+            self._disk.remove(path)
+        if paths:
+            self._disk.sync_folder(self._folder)
+        return bool(paths)
+
+
+def _get_index(path: Path) -> int:
+    return int(path.stem.partition("-")[0])
