--- a/features/disk_space.feature
+++ b/features/disk_space.feature
@@ -31,3 +31,9 @@
     Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
     When its newer snapshot is damaged, the log is loaded and a batch of 1500 KB is stored
     Then the log can be loaded again
+
+  # Guards against files that remain of each process that ended while it saved a snapshot.
+  Scenario: A snapshot that was not finished before a restart is removed
+    Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
+    When a process ends while it saves a snapshot, and the log is loaded
+    Then nothing is left of that snapshot
--- a/features/steps/disk_space_steps.py
+++ b/features/steps/disk_space_steps.py
@@ -257,3 +257,16 @@
 def then_loaded(context):
     context.stored.restart()
     assert context.stored.log.snapshot_index == 10
+
+
+@when("a process ends while it saves a snapshot, and the log is loaded")
+def when_save_interrupted(context):
+    stored = context.stored
+    (stored.folder / "snapshots" / "00000000000000000020-2.snapshot.new").write_bytes(b"half")
+    stored.restart()
+
+
+@then("nothing is left of that snapshot")
+def then_nothing_left(context):
+    names = [path.name for path in context.stored.folder.glob("snapshots/*")]
+    assert len(names) == 2 and not any(name.endswith(".new") for name in names), names
--- a/src/dewspindle/_internal/replication/disk.py
+++ b/src/dewspindle/_internal/replication/disk.py
@@ -8,6 +8,7 @@
 
 from ..exceptions import DiskFullError, SyncFailedError
 
+TEMPORARY_SUFFIX = ".new"  # Of a file that is being written to replace another one.
 _FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
@@ -79,7 +80,7 @@
 
     def replace_file(self, path: Path, data: bytes) -> None:
         """Replace the contents of a file atomically and durably."""
-        temporary = path.with_name(path.name + ".new")
+        temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
         descriptor = self.create(temporary)
         try:
             self.write(descriptor, data, offset=0)
--- a/src/dewspindle/_internal/replication/snapshots.py
+++ b/src/dewspindle/_internal/replication/snapshots.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ..exceptions import CorruptFileError
+from ..exceptions import CorruptFileError, DiskFullError
 from ..utils.logs import get_logger
-from .disk import Disk
+from .disk import TEMPORARY_SUFFIX, Disk
 from .metadata import add_checksum, check_checksum
 
 SNAPSHOT_SUFFIX = ".snapshot"
+UNFINISHED_PATTERN = f"*{SNAPSHOT_SUFFIX}{TEMPORARY_SUFFIX}"
 KEPT_SNAPSHOTS = 2
 
 logger = get_logger(__name__)
@@ -33,6 +34,7 @@
     def load_newest(self) -> StoredSnapshot | None:
         """Return the newest valid snapshot, or None; skip damaged ones."""
         self._folder.mkdir(parents=True, exist_ok=True)
+        self._remove_unfinished()
         for path in self._list_newest_first():
             try:
                 data = check_checksum(path, path.read_bytes())
@@ -43,6 +45,14 @@
             return StoredSnapshot(index=index, term=term, data=data)
         return None
 
+    def _remove_unfinished(self) -> None:
+        """Remove what a process left that ended while it saved a snapshot."""
+        for path in self._folder.glob(UNFINISHED_PATTERN):
+            try:
+                self._disk.remove(path)
+            except DiskFullError as error:
+                logger.warning("disk full; unfinished snapshot not removed", error=str(error))
+
     def _list_newest_first(self) -> list[Path]:
         return sorted(self._folder.glob(f"*{SNAPSHOT_SUFFIX}"), reverse=True)
 
