Bound what waits for a commit or a leader by its bytes

A leader now refuses changes once 32 MB wait (as not committed, so they are retried); a message holds 1 MB, unless one request is larger; an entry instance refuses requests with 503 and Retry-After once 16 MB wait, as those were certainly not sent. byte_limits.feature: its three scenarios failed before.

--- a/src/dewspindle/_internal/jobs/relay.py
+++ b/src/dewspindle/_internal/jobs/relay.py
@@ -15,6 +15,8 @@
 from ..utils.timers import Signal, TimerService
 
 MAX_BATCH_REQUESTS = 64  # Requests in one message.
+MAX_BATCH_BYTES = 1024 * 1024  # Of the requests in one message, unless a single one is larger.
+MAX_WAITING_BYTES = 16 * 1024 * 1024  # Of all requests that wait to be sent.
 MAX_IN_FLIGHT = 4  # Messages of one sender at a time.
 RELAY_TIMEOUT_S = 2.8  # Longer than an election and the discovery of the next leader.
 # A helper that has nothing to relay announces itself, well within `ENTRY_TIMEOUT_S` of the leader.
@@ -31,6 +33,10 @@
     done: anyio.Event = field(default_factory=anyio.Event)
     answer: peers_pb2.JobAnswer | None = None
     error: DewspindleError | None = None
+    size: int = field(init=False)  # In bytes.
+
+    def __post_init__(self) -> None:
+        self.size = self.request.ByteSize()
 
 
 class BatchSender:
@@ -41,6 +47,7 @@
         self._timers = timers
         self._helper_address = helper_address
         self._waiting: list[PendingRequest] = []
+        self._waiting_bytes = 0
         self._in_flight = 0
         self._answered_at = float("-inf")
         self._wake = Signal()
@@ -51,14 +58,20 @@
         return self._answered_at
 
     def add(self, item: PendingRequest) -> None:
-        """Queue a request."""
+        """Queue a request, or raise `NoLeaderError` if too much waits for the leader."""
+        if self._waiting and self._waiting_bytes + item.size > MAX_WAITING_BYTES:
+            raise NoLeaderError(
+                f"requests of {self._waiting_bytes} bytes wait for the leader already"
+            )
         self._waiting.append(item)
+        self._waiting_bytes += item.size
         self._wake.set()
 
     def discard(self, item: PendingRequest) -> bool:
         """Withdraw a request; return whether it was certainly not sent."""
         if item in self._waiting:
             self._waiting.remove(item)
+            self._waiting_bytes -= item.size
             return True
         return False
 
@@ -69,10 +82,20 @@
             if not self._waiting or self._in_flight >= MAX_IN_FLIGHT:
                 await event.wait()
                 continue
-            batch = self._waiting[:MAX_BATCH_REQUESTS]
-            del self._waiting[:MAX_BATCH_REQUESTS]
             self._in_flight += 1
-            group.start_soon(self._send_batch, batch)
+            group.start_soon(self._send_batch, self._take_batch())
+
+    def _take_batch(self) -> list[PendingRequest]:
+        batch: list[PendingRequest] = []
+        size = 0
+        for item in self._waiting[:MAX_BATCH_REQUESTS]:
+            size += item.size
+            if batch and size > MAX_BATCH_BYTES:
+                break
+            batch.append(item)
+        del self._waiting[: len(batch)]
+        self._waiting_bytes -= sum(item.size for item in batch)
+        return batch
 
     async def _send_batch(self, batch: Sequence[PendingRequest]) -> None:
         request = peers_pb2.RelayJobsRequest(
@@ -141,8 +164,8 @@
     async def send(self, request: peers_pb2.JobRequest, *, timeout_s: float) -> peers_pb2.JobAnswer:
         """Return the leader's answer.
 
-        Raises `NoLeaderError` if the request certainly had no effect, `OutcomeUnknownError`
-        if it may have had one.
+        Raises `NoLeaderError` if the request certainly had no effect, as it could not be sent in
+        time or too much waits already, `OutcomeUnknownError` if it may have had one.
         """
         sender = self._reads if request.call == JOB_READ else self._changes
         item = PendingRequest(request)
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -31,6 +31,7 @@
 
 APPLY_BATCH_ENTRIES = 256  # Applied without yielding to the event loop.
 MAX_PENDING_PROPOSALS = 20000
+MAX_PENDING_BYTES = 32 * 1024 * 1024  # Of changes that wait to be committed, in memory and the log.
 MAX_CLOCK_DRIFT_FACTOR = 1.05  # Bound on the ratio of the clock rates of two instances.
 
 logger = get_logger(__name__)
@@ -188,8 +189,12 @@
         if leadership is None or not leadership.is_leading or leadership.is_transferring:
             raise NotLeaderError("this replica is not the leader, or is giving up leadership")
         # `LeaderClient` retries this error's code, as the change was certainly not proposed.
-        if len(self._proposals) >= MAX_PENDING_PROPOSALS:
-            raise NotLeaderError("too many changes are waiting to be committed")
+        log = self._context.log
+        pending_bytes = log.count_bytes(self._context.commit_index, log.last_index)
+        if len(self._proposals) >= MAX_PENDING_PROPOSALS or pending_bytes >= MAX_PENDING_BYTES:
+            raise NotLeaderError(
+                f"{len(self._proposals)} changes of {pending_bytes} bytes wait to be committed"
+            )
         proposal = self._add_proposal(command, term=leadership.term)
         await proposal.done.wait()
         if proposal.result is None:
