Refuse new work before the state outgrows the data disk

The new scenario of disk_space.feature failed before: all of 20 jobs of 100 KB were accepted with a limit of 1 MB.

--- a/features/disk_space.feature
+++ b/features/disk_space.feature
@@ -37,3 +37,12 @@
     Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
     When a process ends while it saves a snapshot, and the log is loaded
     Then nothing is left of that snapshot
+
+  # Guards against a state that grows until no disk holds another snapshot of it beside the log.
+  Scenario: New work is refused once the state has its full size, and accepted again once it has shrunk
+    Given a cell of 3 replicas with 2 workers whose state may take 1 MB
+    When 20 jobs of 100 KB are submitted one after another
+    Then 9 to 11 of them are accepted, and the others refused with 503 and the code state-full
+    And an accepted job can be submitted again, read and cancelled
+    And a change of a configuration is refused as state-full
+    And one more job is accepted 150 seconds later
--- a/features/steps/disk_space_steps.py
+++ b/features/steps/disk_space_steps.py
@@ -7,11 +7,14 @@
 from dewspindle._internal.platform.settings_file import decode_platform_settings
 from dewspindle._internal.replication.log import Log
 from dewspindle._internal.replication.snapshots import StoredSnapshot
-from dewspindle._internal.schema import cell_pb2, jobs_pb2
+from dewspindle._internal.schema import cell_pb2, jobs_pb2, peers_pb2
 from dewspindle._internal.schema.peers_pb2 import Entry
 from dewspindle._internal.settings.loading import get_setting_fields
 from features.lib.disk import FaultyDisk
+from features.lib.job_cell import HOST, PREFIX
 from features.lib.stepping import advance
+from features.steps.job_steps import allocate_job_id, make_plan, make_step, start_in_background
+from features.steps.job_steps import given_cell as given_job_cell
 from features.steps.replication_steps import make_cell, start_cell
 from features.steps.storage_steps import call_directly
 
@@ -270,3 +273,80 @@
 def then_nothing_left(context):
     names = [path.name for path in context.stored.folder.glob("snapshots/*")]
     assert len(names) == 2 and not any(name.endswith(".new") for name in names), names
+
+
+@given("a cell of 3 replicas with 2 workers whose state may take 1 MB")
+def given_small_state(context):
+    given_job_cell(context, 3, 2, max_state_bytes=str(KB * KB))
+
+
+def send_call(context, call, job_id):
+    """Send a request about a job to the leader, and return its answer."""
+    request = peers_pb2.JobRequest(call=call, host=HOST, path=PREFIX + job_id)
+    if call == peers_pb2.JOB_SUBMIT:
+        request.spec.CopyFrom(context.cell.fleet.plans[job_id].spec)
+    answers = []
+
+    async def send():
+        services = context.cell.leader.job_leader_services
+        answer = await services._relay_jobs(peers_pb2.RelayJobsRequest(requests=[request]))
+        answers.extend(answer.answers)
+
+    start_in_background(context, send)
+    advance(context, 0.2)
+    return answers[0]
+
+
+@when("{count:d} jobs of {size_kb:d} KB are submitted one after another")
+def when_large_jobs_submitted(context, count, size_kb):
+    context.accepted, context.refused = [], []
+    for _ in range(count):
+        job_id = allocate_job_id(context)
+        plan = make_plan(make_step(1))
+        plan.spec.payload = "x" * (size_kb * KB)
+        context.cell.fleet.plans[job_id] = plan
+        answer = send_call(context, peers_pb2.JOB_SUBMIT, job_id)
+        if answer.status == 200:
+            context.accepted.append(job_id)
+        else:
+            context.refused.append(answer)
+
+
+@then(
+    "{low:d} to {high:d} of them are accepted, and the others refused with 503 and the code {code}"
+)
+def then_some_refused(context, low, high, code):
+    assert low <= len(context.accepted) <= high, len(context.accepted)
+    refusals = {(answer.status, answer.code) for answer in context.refused}
+    assert refusals == {(503, code)}, refusals
+    assert all(answer.retry_after_ms for answer in context.refused)
+
+
+@then("an accepted job can be submitted again, read and cancelled")
+def then_served(context):
+    for call in (peers_pb2.JOB_SUBMIT, peers_pb2.JOB_READ, peers_pb2.JOB_CANCEL):
+        assert send_call(context, call, context.accepted[-1]).status == 200
+
+
+@then("a change of a configuration is refused as {code}")
+def then_change_refused(context, code):
+    errors = []
+
+    async def put():
+        command = cell_pb2.Command(put_config=cell_pb2.PutConfig(name="limit", value=b"1"))
+        try:
+            await context.cell.leader.replica.propose(command)
+        except DewspindleError as error:
+            errors.append(error.code)
+
+    start_in_background(context, put)
+    advance(context, 0.2)
+    assert errors == [code], errors
+
+
+@then("one more job is accepted {seconds:d} seconds later")
+def then_accepted_later(context, seconds):
+    advance(context, seconds)
+    job_id = allocate_job_id(context)
+    context.cell.fleet.plans[job_id] = make_plan(make_step(1))
+    assert send_call(context, peers_pb2.JOB_SUBMIT, job_id).status == 200
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -50,8 +50,9 @@
 
 
 @given("a cell of {replicas:d} replicas whose leader sends orders to {workers:d} workers")
-def given_cell(context, replicas, workers, advisor=None, *, avoids_interference=False):
-    cell = JobCell(context.folder, size=replicas, seed=1, workers=workers, **FLAGS)
+def given_cell(context, replicas, workers, advisor=None, *, avoids_interference=False, **flags):
+    flags = {**FLAGS, **flags}
+    cell = JobCell(context.folder, size=replicas, seed=1, workers=workers, **flags)
     cell.advisor = advisor
     cell.avoids_interference = avoids_interference
     host_cell(context, cell)
--- a/src/dewspindle/_internal/exceptions.py
+++ b/src/dewspindle/_internal/exceptions.py
@@ -184,6 +184,14 @@
     hint = "free space on the disk of the data folder"
 
 
+class StateFullError(DewspindleError):
+    """The cell state has reached its limit, so nothing is accepted that it would grow by."""
+
+    code = "state-full"
+    status = 507
+    hint = "wait until ended work is forgotten, or raise --max-state-bytes where the disks allow it"
+
+
 class SyncFailedError(DewspindleError):
     """A write or sync of the data folder failed, so the contents of the disk are unknown."""
 
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -33,7 +33,7 @@
 NOT_CONFIGURED_RETRY_MS = 1000  # At start-up callers may come before the first queue table.
 # Cancellations of unknown jobs that are remembered for the retention period, some 0.5 KB each.
 MAX_CANCELLED_IDS = 20_000
-CANCELLED_IDS_RETRY_MS = 10_000  # Expired ones are forgotten about as often.
+FULL_RETRY_MS = 10_000  # Ended jobs and cancelled ids are forgotten about as often.
 
 _STATUSES = {
     JOB_SUCCEEDED: JobStatus.SUCCEEDED,
@@ -180,7 +180,10 @@
         if known is not None:
             is_resent = known.belongs_to(queue)
             return JobAnswer(status=200) if is_resent else self._refuse_used_id(item)
-        if team is not None and job.id not in self._committing:
+        is_new = job.id not in self._committing
+        if is_new and self._replica.is_state_full:
+            return self._refuse(item, Refusal.STATE_FULL, 503, retry_after_ms=FULL_RETRY_MS)
+        if team is not None and is_new:
             refusal = self._admit(item, job, team)
             if refusal is not None:
                 return refusal
@@ -207,8 +210,7 @@
         if not is_valid_job_id(job_id):
             return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
         if job is None and len(self._store.cancelled_ids) >= MAX_CANCELLED_IDS:
-            retry_after_ms = CANCELLED_IDS_RETRY_MS
-            return self._refuse(item, Refusal.OVERLOADED, 503, retry_after_ms=retry_after_ms)
+            return self._refuse(item, Refusal.STATE_FULL, 503, retry_after_ms=FULL_RETRY_MS)
         batch.cancellations[number] = jobs_pb2.JobCancellation(
             id=job_id,
             host=queue.host,
--- a/src/dewspindle/_internal/platform/instance_settings.py
+++ b/src/dewspindle/_internal/platform/instance_settings.py
@@ -12,7 +12,9 @@
 READY_DELAY_MS = 3500  # Two load balancer probes, 1 s apart, and a margin.
 
 DEFAULT_DISK_MB = 128  # Where the platform names no size.
-# Shares of the data disk. The rest is for the snapshots, of which three exist for a moment.
+# Shares of the data disk. Two snapshots of the largest state fit beside the log: the one in use and
+# the one that is being written.
+STATE_SHARE = 0.3
 SNAPSHOT_SHARE = 0.125
 RETAINED_SHARE = 0.0625
 SEGMENT_SHARE = 0.03125
@@ -46,6 +48,7 @@
             "retained_entries": "1000",
             "segment_bytes": str(int(SEGMENT_SHARE * disk_bytes)),
             "snapshot_bytes": str(int(SNAPSHOT_SHARE * disk_bytes)),
+            "max_state_bytes": str(int(STATE_SHARE * disk_bytes)),
             "retained_bytes": str(int(RETAINED_SHARE * disk_bytes)),
         },
         environment={},
--- a/src/dewspindle/_internal/replication/log.py
+++ b/src/dewspindle/_internal/replication/log.py
@@ -95,6 +95,12 @@
         """Return the index of the last entry in the newest snapshot, or 0 without one."""
         return self._snapshot.index if self._snapshot else 0
 
+    @property
+    def state_bytes(self) -> int:
+        """Return a bound on the size of the state: the newest snapshot and the entries after it."""
+        snapshot_bytes = len(self._snapshot.data) if self._snapshot else 0
+        return snapshot_bytes + self.count_bytes(self.snapshot_index, self.last_index)
+
     @property
     def segment_count(self) -> int:
         """Return the number of segment files."""
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -12,6 +12,7 @@
     DiskFullError,
     NotLeaderError,
     OutcomeUnknownError,
+    StateFullError,
     UnknownCommandError,
 )
 from ..models.enums import Role
@@ -32,6 +33,11 @@
 APPLY_BATCH_ENTRIES = 256  # Applied without yielding to the event loop.
 MAX_PENDING_PROPOSALS = 20000
 MAX_PENDING_BYTES = 32 * 1024 * 1024  # Of changes that wait to be committed, in memory and the log.
+# Changes that add to the state. Submissions of jobs are refused before they are proposed, as they
+# share an entry with cancellations.
+GROWING_COMMANDS = frozenset(("submit_record", "put_config"))
+# Between the snapshots of a full state, which show whether it has shrunk.
+FULL_STATE_SNAPSHOT_S = 10.0
 MAX_CLOCK_DRIFT_FACTOR = 1.05  # Bound on the ratio of the clock rates of two instances.
 
 logger = get_logger(__name__)
@@ -114,6 +120,7 @@
         self._leadership: Leadership | None = None
         self._proposals: dict[int, Proposal] = {}
         self._last_timestamp_ms = 0
+        self._snapshot_saved_at = float("-inf")
 
     @property
     def context(self) -> ReplicaContext:
@@ -140,6 +147,12 @@
         """Return whether this replica may act as the leader, as `Leadership` defines it."""
         return self._leadership is not None and self._leadership.may_act_as_leader
 
+    @property
+    def is_state_full(self) -> bool:
+        """Return whether the state has reached the size that the disk can hold."""
+        limit = self._context.settings.max_state_bytes
+        return bool(limit) and self._context.log.state_bytes >= limit
+
     async def run(self) -> None:
         """Run until cancelled; raise on an unrecoverable error."""
         context = self._context
@@ -182,14 +195,17 @@
     async def propose(self, command: cell_pb2.Command) -> cell_pb2.Result:
         """Commit a change and return the result of applying it.
 
-        Raises `NotLeaderError` if it was certainly not committed, `OutcomeUnknownError` if it
-        may have been.
+        Raises `NotLeaderError` or `StateFullError` if it was certainly not committed,
+        `OutcomeUnknownError` if it may have been.
         """
         leadership = self._leadership
         if leadership is None or not leadership.is_leading or leadership.is_transferring:
             raise NotLeaderError("this replica is not the leader, or is giving up leadership")
         # `LeaderClient` retries this error's code, as the change was certainly not proposed.
         log = self._context.log
+        if self.is_state_full and command.WhichOneof("body") in GROWING_COMMANDS:
+            limit = self._context.settings.max_state_bytes
+            raise StateFullError(f"the state takes {log.state_bytes} bytes of at most {limit}")
         pending_bytes = log.count_bytes(self._context.commit_index, log.last_index)
         if len(self._proposals) >= MAX_PENDING_PROPOSALS or pending_bytes >= MAX_PENDING_BYTES:
             raise NotLeaderError(
@@ -257,9 +273,11 @@
         )
         if revision == log.snapshot_index:
             return False
+        is_old = self._context.timers.now() - self._snapshot_saved_at >= FULL_STATE_SNAPSHOT_S
         return (
             revision - log.snapshot_index >= settings.snapshot_entries
             or log.count_bytes(log.snapshot_index, revision) >= settings.snapshot_bytes
+            or (self.is_state_full and is_old)
         )
 
     async def _save_snapshots(self) -> None:
@@ -282,6 +300,7 @@
         # The revision of a state is the index of the last entry that was applied to it.
         snapshot = StoredSnapshot(index=state.revision, term=state.term, data=state.serialize())
         await context.log.save_snapshot(snapshot)
+        self._snapshot_saved_at = context.timers.now()
         logger.info("snapshot saved", revision=snapshot.index, bytes=len(snapshot.data))
         return snapshot.index
 
--- a/src/dewspindle/_internal/utils/refusals.py
+++ b/src/dewspindle/_internal/utils/refusals.py
@@ -30,6 +30,7 @@
     BEYOND_SHARE = "beyond-share"
     OVERLOADED = "overloaded"
     GANG_EXCEEDS_CAP = "gang-exceeds-cap"
+    STATE_FULL = "state-full"
     # Calls.
     FENCED = "fenced"
     DRAINING = "draining"
