Let workers leave and callers give up in the soak

Workers now deregister, most of them without getting an answer, and run on for some seconds; a tenth of the callers cancel a job before its submission is answered.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -37,6 +37,8 @@
 CALL_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.3
 FINAL_STATES = ("completed", "failed", "aborted")
+EARLY_CANCEL_FRACTION = 0.1  # Of the jobs.
+EARLY_CANCEL_S = (0.0, 0.3)  # From the submission.
 WRONG_KEY_FRACTION = 0.3  # Of the checks of a job.
 
 
@@ -60,6 +62,7 @@
         self._teams = teams
         # Leaves the other draws as they are.
         self._team_rng = random.Random(f"{seed}-teams")
+        self._early_rng = random.Random(f"{seed}-early-cancels")
         self.key_checks = KeyChecks(fleet, teams, self.call, rng=self._team_rng)
         self._clients = [JsonClient(proxy.address, max_connections=64) for proxy in proxies]
         self.cancelled: set[str] = set()
@@ -89,10 +92,13 @@
         plan = Plan(decode_job(json.dumps(body).encode()), run_s=self._rng.uniform(0.2, 1.5))
         self._fleet.plans[job] = plan
         self._fleet.teams[job] = self._team_rng.choice(self._teams.names)
+        if self._early_rng.random() < EARLY_CANCEL_FRACTION:
+            await self._give_up(job, body)
+            return
         if not await self._submit(job, body):
             return
         if self._rng.random() < 0.1:
-            await self._cancel(job)
+            await self._cancel_later(job)
             return
         for _ in range(4):
             await anyio.sleep(self._rng.uniform(0.5, 2.0))
@@ -135,8 +141,18 @@
             self._fleet.refused.add(job)
         return False
 
-    async def _cancel(self, job: str) -> None:
+    async def _give_up(self, job: str, body: Any) -> None:
+        """Submit a job, and cancel it without waiting for the answer."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._call_as_owner, "POST", job, body)
+            await anyio.sleep(self._early_rng.uniform(*EARLY_CANCEL_S))
+            await self._cancel(job)
+
+    async def _cancel_later(self, job: str) -> None:
         await anyio.sleep(self._rng.uniform(0.0, 1.0))
+        await self._cancel(job)
+
+    async def _cancel(self, job: str) -> None:
         self.cancelled.add(job)
         for _ in range(MAX_ATTEMPTS):
             answer = await self._call_as_owner("DELETE", job)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -193,3 +193,15 @@
         run.start_soon(run.operator.put)
         await anyio.sleep(rng.uniform(0.0, 0.4))
     await run.operator.check()
+
+
+async def let_worker_leave(run: "SoakRun", rng: random.Random) -> None:
+    """Deregister a worker, which mostly gets no answer and runs on, then replace it."""
+    host = rng.choice(run.fleet.hosts)
+    worker = host.worker
+    worker.gets_no_acknowledgements = rng.random() < 0.7
+    host.proxy.link.drops_requests = worker.gets_no_acknowledgements
+    await run.fleet.leave(worker)
+    if worker in run.fleet.workers:
+        run.fleet.replace(worker)
+    await host.proxy.restore()
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -15,7 +15,7 @@
 from features.lib.called_fleet import CAPACITY
 
 from .callers import Callers, Operator
-from .faults import FAULTS
+from .faults import FAULTS, let_worker_leave
 from .programs import CLIENT_PORT, CONTROL_PORT, Program
 from .proxy import Proxy
 from .teams import CAPS, WITHDRAWAL_LIMIT_S, Teams
@@ -25,6 +25,7 @@
 FORMATION_TIMEOUT_S = 30.0
 SETTLE_TIMEOUT_S = 60.0  # For accepted jobs to complete after the last fault.
 RESIZE_INTERVAL_S = (0.5, 2.0)
+LEAVE_INTERVAL_S = (2.0, 6.0)
 FAULT_INTERVAL_S = (0.3, 2.5)  # Between the starts of two faults, which may overlap.
 JOB_INTERVAL_S = (0.02, 0.25)
 WITHDRAWAL_INTERVAL_S = (0.2, 1.5)  # From the addition of a key to the next withdrawal.
@@ -49,6 +50,7 @@
         # Leave the other draws as they are.
         self._resize_rng = random.Random(f"{seed}-resize")
         self._key_rng = random.Random(f"{seed}-keys")
+        self._leave_rng = random.Random(f"{seed}-leave")
         self._group: TaskGroup | None = None
         self._replica_lock = anyio.Lock()
         self.clock = RealClock()
@@ -148,6 +150,7 @@
             group.start_soon(self._submit_jobs, ends_at)
             group.start_soon(self._resize_workers, ends_at)
             group.start_soon(self._withdraw_keys, ends_at)
+            group.start_soon(self._remove_workers, ends_at)
             while self.clock.now < ends_at:
                 name = self._rng.choice(sorted(FAULTS))
                 rng = random.Random(self._rng.getrandbits(32))
@@ -167,6 +170,13 @@
         for worker in self.fleet.workers:
             worker.resize(CAPACITY)
 
+    async def _remove_workers(self, ends_at: float) -> None:
+        """Let one worker after another leave."""
+        while self.clock.now < ends_at:
+            await anyio.sleep(self._leave_rng.uniform(*LEAVE_INTERVAL_S))
+            self.fault_counts["worker-leave"] += 1
+            await let_worker_leave(self, self._leave_rng)
+
     async def _withdraw_keys(self, ends_at: float) -> None:
         """Withdraw one key after another, each for longer than requests may still succeed."""
         while self.clock.now < ends_at:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -240,23 +240,29 @@
             "sequence": worker.heartbeat_sequence,
             "born": worker.born_ms,
         }
-        addresses = self.cell.control_addresses
+        await self._send_to_any(f"/Instances.Heartbeat/{worker.id}", body)
+
+    async def send_deregistration(self, worker: CalledWorker, *, born_ms: int) -> bool:
+        """Deregister a worker, and return whether that was acknowledged."""
+        return await self._send_to_any(f"/Instances.Deregister/{worker.id}", {"born": born_ms})
+
+    async def _send_to_any(self, path: str, body: dict[str, Any]) -> bool:
+        """Send a request to one replica after another until one acknowledges it."""
+        addresses = list(self.cell.control_addresses)
         self.rng.shuffle(addresses)
         for address in addresses:
             client = JsonClient(address, max_connections=1)
             try:
                 answer = await client.request(
-                    "POST",
-                    f"/Instances.Heartbeat/{worker.id}",
-                    body=body,
-                    timeout_s=HEARTBEAT_REQUEST_TIMEOUT_S,
+                    "POST", path, body=body, timeout_s=HEARTBEAT_REQUEST_TIMEOUT_S
                 )
             except DewspindleError:
                 continue
             finally:
                 await client.close()
             if answer.status == 200:
-                return
+                return True
+        return False
 
 
 def make_ticket(step: str, worker: str) -> str:
