--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -15,7 +15,8 @@
 from dewspindle._internal.cell.jobs import JobStore
 from dewspindle._internal.exceptions import NoLeaderError
 from dewspindle._internal.jobs.advice import AdviceClient, StepKey
-from dewspindle._internal.jobs.fleet import Fleet, FleetWorker
+from dewspindle._internal.jobs.fleet import Fleet
+from dewspindle._internal.jobs.fleet_worker import FleetWorker
 from dewspindle._internal.jobs.helper_registry import HelperRegistry
 from dewspindle._internal.jobs.placements import Placement, PlacementPhase
 from dewspindle._internal.jobs.planning import JobPlanner
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -3,7 +3,8 @@
 import anyio.lowlevel
 from behave import given, then, when
 
-from dewspindle._internal.jobs.fleet import Fleet, SuspensionCause
+from dewspindle._internal.jobs.fleet import Fleet
+from dewspindle._internal.jobs.fleet_worker import SuspensionCause
 from dewspindle._internal.jobs.gateway import OrderOutcome, StartOrder
 from dewspindle._internal.jobs.placements import Placement, PlacementPhase
 from dewspindle._internal.models.ids import JobId
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -22,7 +22,7 @@
     StepAdvice,
     estimate_call_s,
 )
-from .fleet import FleetWorker
+from .fleet_worker import FleetWorker
 from .planning_round import PlanningRound
 from .runs import StepRun
 
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -20,7 +20,8 @@
 from ..utils.timers import Signal, TimerService, wait_for_event
 from .advice import AdviceCall, AdviceClient
 from .end_reporter import EndReporter
-from .fleet import Fleet, FleetWorker, HeartbeatLimits, SuspensionCause
+from .fleet import Fleet, HeartbeatLimits
+from .fleet_worker import FleetWorker, SuspensionCause
 from .gateway import OrderOutcome, WorkerGateway
 from .helper_registry import Helper
 from .load_report import LoadReport
--- a/src/dewspindle/_internal/jobs/early_gangs.py
+++ b/src/dewspindle/_internal/jobs/early_gangs.py
@@ -2,7 +2,7 @@
 
 from ..scheduling.gang_workers import GangWorkers, choose_earliest_workers
 from .advice_planner import count_filled_workers
-from .fleet import FleetWorker
+from .fleet_worker import FleetWorker
 from .planning_round import PlanningRound
 from .runs import StepRun, UnitRun
 
--- a/src/dewspindle/_internal/jobs/leases.py
+++ b/src/dewspindle/_internal/jobs/leases.py
@@ -4,7 +4,7 @@
 CLOCK_DRIFT_FACTOR = 1.021
 LEASE_MARGIN_S = 0.1  # Covers rounding to whole milliseconds and late timers on the worker.
 # An unanswered order may be carried out this long after it was sent; `LATE_ORDER_WINDOW_S` in
-# fleet.py is the same bound.
+# fleet_worker.py is the same bound.
 MAX_ORDER_DELAY_S = 12.0
 
 
--- a/src/dewspindle/_internal/jobs/placements.py
+++ b/src/dewspindle/_internal/jobs/placements.py
@@ -10,7 +10,7 @@
 from ..scheduling.run_times import Periods
 
 if TYPE_CHECKING:
-    from .fleet import FleetWorker
+    from .fleet_worker import FleetWorker
 
 # A job and the position of one of its tasks over all occurrences and steps (see `JobLayout`).
 JobTaskKey = tuple[JobId, int]
--- a/src/dewspindle/_internal/jobs/planner_load.py
+++ b/src/dewspindle/_internal/jobs/planner_load.py
@@ -10,7 +10,8 @@
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
 from .advice import AdviceClient
-from .fleet import Fleet, FleetWorker
+from .fleet import Fleet
+from .fleet_worker import FleetWorker
 from .runs import StepRun
 
 MAX_EXPLAINED_STEPS = 20  # Steps of highest rank of which one report tells why they wait.
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -16,7 +16,8 @@
 from .advice import AdviceClient, StepKey
 from .advice_planner import AdvicePlanner
 from .early_gangs import find_early_workers
-from .fleet import Fleet, FleetWorker
+from .fleet import Fleet
+from .fleet_worker import FleetWorker
 from .planner_load import PlannerLoad, StepWorkers
 from .planning_round import PlannedStart, PlanningRound
 from .relocation import StartRelocator
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -9,7 +9,8 @@
 from ..scheduling.gang_workers import GangWorkers, Release, WorkerOutlook
 from ..scheduling.team_caps import TeamCaps
 from .advice import StepKey
-from .fleet import Fleet, FleetWorker
+from .fleet import Fleet
+from .fleet_worker import FleetWorker
 from .placements import Placement, PlacementPhase
 from .runs import StepRun, UnitRun
 
--- a/src/dewspindle/_internal/jobs/relocation.py
+++ b/src/dewspindle/_internal/jobs/relocation.py
@@ -15,7 +15,8 @@
 from ..scheduling.job_placement import compute_max_free_fraction, pack_gang
 from ..scheduling.slowdowns import TIME_COST_WEIGHT, Slowdowns
 from .advice import AdviceClient, StepKey
-from .fleet import Fleet, FleetWorker
+from .fleet import Fleet
+from .fleet_worker import FleetWorker
 from .planning_round import PlannedStart, PlanningRound
 from .runs import StepRun, UnitRun
 
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -8,7 +8,7 @@
 from ..models.resources import Amounts, make_amounts
 from ..scheduling.job_order import LatencyTarget
 from ..schema import jobs_pb2
-from .fleet import FleetWorker
+from .fleet_worker import FleetWorker
 from .placements import Placement, PlacementPhase
 
 # Attempt numbers of a task in one term. Those that a lost leader used may be unknown, so no term
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -10,7 +10,7 @@
 from ..utils.timers import Signal, TimerService, wait_for_event
 from .end_cursor import EndCursor
 from .end_reporter import EndReporter
-from .fleet import FleetWorker
+from .fleet_worker import FleetWorker
 from .gateway import (
     ActiveTask,
     AnswerTimeoutError,
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -13,7 +13,8 @@
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
-from .fleet import Fleet, FleetWorker, WorkerChange
+from .fleet import Fleet, WorkerChange
+from .fleet_worker import FleetWorker
 from .session import WorkerSession
 
 logger = get_logger(__name__)
--- a/src/dewspindle/_internal/jobs/session_owner.py
+++ b/src/dewspindle/_internal/jobs/session_owner.py
@@ -6,7 +6,7 @@
 from ..models.jobs import TaskRef
 from ..models.resources import Amounts
 from ..schema import jobs_pb2
-from .fleet import FleetWorker
+from .fleet_worker import FleetWorker
 from .gateway import ActiveTask
 from .placements import AttemptKey, JobTaskKey, Placement
 
--- a/src/dewspindle/_internal/jobs/suspect_placement.py
+++ b/src/dewspindle/_internal/jobs/suspect_placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from .fleet import FleetWorker
+from .fleet_worker import FleetWorker
 from .planning_round import PlanningRound
 from .runs import UnitRun
 
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -12,7 +12,8 @@
 from ..utils.metrics import Metrics
 from ..utils.refusals import RetryReason
 from ..utils.timers import TimerService
-from .fleet import Fleet, FleetWorker, SuspensionCause
+from .fleet import Fleet
+from .fleet_worker import FleetWorker, SuspensionCause
 from .gateway import ActiveTask
 from .open_jobs import OpenJobs
 from .orders import OrderSender
