--- a/features/disk_space.feature
+++ b/features/disk_space.feature
@@ -32,6 +32,13 @@
     When its newer snapshot is damaged, the log is loaded and a batch of 1500 KB is stored
     Then the log can be loaded again
 
+  # Guards against a replica that would send peers a snapshot from before the entries that it holds.
+  Scenario: A snapshot that is saved while the leader's newer one is installed does not replace it
+    Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
+    When a snapshot of entry 30 is saved and the leader's snapshot of entry 50 is installed meanwhile
+    Then the newest snapshot is that of entry 50
+    And it is stored, and loaded after a restart
+
   # Guards against files that remain of each process that ended while it saved a snapshot.
   Scenario: A snapshot that was not finished before a restart is removed
     Given a log on a disk of 4 MB with two snapshots of 1 MB and 1 MB of entries before the newer one
--- a/features/steps/disk_space_steps.py
+++ b/features/steps/disk_space_steps.py
@@ -262,6 +262,36 @@
     assert context.stored.log.snapshot_index == 10
 
 
+@when(
+    "a snapshot of entry {own:d} is saved and the leader's snapshot of entry {newer:d} is "
+    "installed meanwhile"
+)
+def when_saved_late(context, own, newer):
+    stored = context.stored
+    stored.disk.limit_size(stored, 100 * KB * KB)
+
+    async def install_first(call, *args):
+        """Let the other snapshot be installed before the first call returns."""
+        stored.log._offload = call_directly
+        result = call(*args)
+        await stored.log.install_snapshot(stored.make_snapshot(newer, size_kb=KB))
+        return result
+
+    async def save():
+        await stored.append(own - stored.log.last_index)
+        stored.log._offload = install_first
+        await stored.log.save_snapshot(stored.make_snapshot(own, size_kb=KB))
+        await stored.append(1)
+        return stored.log.last_index
+
+    context.last_index = context.run(save())
+
+
+@then("the newest snapshot is that of entry {index:d}")
+def then_newest_snapshot(context, index):
+    assert context.stored.log.snapshot_index == index, context.stored.log.snapshot_index
+
+
 @when("a process ends while it saves a snapshot, and the log is loaded")
 def when_save_interrupted(context):
     stored = context.stored
--- a/src/dewspindle/_internal/replication/log.py
+++ b/src/dewspindle/_internal/replication/log.py
@@ -254,6 +254,9 @@
         """Write a snapshot and remove the entries that need no longer be retained."""
         await self._store_snapshot(snapshot)
         async with self._lock:
+            # The leader may have sent a newer one meanwhile, with which the log begins anew.
+            if snapshot.index <= self.snapshot_index:
+                return
             self._snapshot = snapshot
             await self._remove_through(self._find_retained(snapshot.index))
 
