--- a/features/lib/called_fleet.py
+++ b/features/lib/called_fleet.py
@@ -417,10 +417,10 @@
                     self.cell.start_soon(self.send_heartbeat, worker)
             await self.timers.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def send_heartbeat(self, worker: CalledWorker) -> None:
-        """Send a worker's heartbeat to the current leader."""
+    def make_heartbeat(self, worker: CalledWorker) -> peers_pb2.WorkerBeat:
+        """Return the next heartbeat of a worker."""
         worker.heartbeat_sequence += 1
-        heartbeat = peers_pb2.WorkerBeat(
+        return peers_pb2.WorkerBeat(
             worker=jobs_pb2.CalledWorker(
                 id=worker.id,
                 pool="pool",
@@ -433,7 +433,10 @@
             clock_ms=worker.clock_ms,
             sequence=worker.heartbeat_sequence,
         )
-        await self.send_to_leader(heartbeat)
+
+    async def send_heartbeat(self, worker: CalledWorker) -> None:
+        """Send a worker's heartbeat to the current leader."""
+        await self.send_to_leader(self.make_heartbeat(worker))
 
     async def send_to_leader(self, heartbeat: peers_pb2.WorkerBeat) -> bool:
         """Send a heartbeat to the current leader; return whether it was acknowledged."""
--- a/features/steps/cancellation_steps.py
+++ b/features/steps/cancellation_steps.py
@@ -8,7 +8,7 @@
 from features.lib.stepping import advance
 from features.steps.job_request_steps import JOB_ID, OTHER_PREFIX, put_table, start
 from features.steps.job_steps import make_plan, make_step
-from features.steps.replication_steps import FAULTS
+from features.steps.replication_steps import FAULTS, when_all_restart
 
 RUN_S = 30.0  # Longer than any scenario, so that a job that is not cancelled is seen to run.
 
@@ -42,17 +42,6 @@
     context.run(start(context, relay))
 
 
-def restart_all(context):
-    async def restart():
-        for node in context.cell.nodes:
-            node.kill()
-        await context.cell.clock.settle()
-        for node in context.cell.nodes:
-            node.start()
-
-    context.run(restart())
-
-
 def lose_leader(context):
     async def lose():
         FAULTS["kill"](context.cell, context.cell.leader)
@@ -78,7 +67,7 @@
             lose_leader(context)
             advance(context, 3)
         elif moment.endswith("restart"):
-            restart_all(context)
+            when_all_restart(context)
             advance(context, 3)
         send_batch(context, submit)
     advance(context, 0.5)
--- a/features/steps/disk_space_steps.py
+++ b/features/steps/disk_space_steps.py
@@ -11,8 +11,9 @@
 from dewspindle._internal.schema.peers_pb2 import Entry
 from dewspindle._internal.settings.loading import get_setting_fields
 from features.lib.disk import FaultyDisk
-from features.lib.job_cell import HOST, PREFIX
+from features.lib.job_cell import PREFIX
 from features.lib.stepping import advance
+from features.steps.job_request_steps import send
 from features.steps.job_steps import allocate_job_id, make_plan, make_step, start_in_background
 from features.steps.job_steps import given_cell as given_job_cell
 from features.steps.replication_steps import make_cell, start_cell
@@ -310,23 +311,6 @@
     given_job_cell(context, 3, 2, max_state_bytes=str(KB * KB))
 
 
-def send_call(context, call, job_id):
-    """Send a request about a job to the leader, and return its answer."""
-    request = peers_pb2.JobRequest(call=call, host=HOST, path=PREFIX + job_id)
-    if call == peers_pb2.JOB_SUBMIT:
-        request.spec.CopyFrom(context.cell.fleet.plans[job_id].spec)
-    answers = []
-
-    async def send():
-        services = context.cell.leader.job_leader_services
-        answer = await services._relay_jobs(peers_pb2.RelayJobsRequest(requests=[request]))
-        answers.extend(answer.answers)
-
-    start_in_background(context, send)
-    advance(context, 0.2)
-    return answers[0]
-
-
 @when("{count:d} jobs of {size_kb:d} KB are submitted one after another")
 def when_large_jobs_submitted(context, count, size_kb):
     context.accepted, context.refused = [], []
@@ -335,7 +319,7 @@
         plan = make_plan(make_step(1))
         plan.spec.payload = "x" * (size_kb * KB)
         context.cell.fleet.plans[job_id] = plan
-        answer = send_call(context, peers_pb2.JOB_SUBMIT, job_id)
+        answer = send(context, peers_pb2.JOB_SUBMIT, PREFIX + job_id)
         if answer.status == 200:
             context.accepted.append(job_id)
         else:
@@ -355,7 +339,7 @@
 @then("an accepted job can be submitted again, read and cancelled")
 def then_served(context):
     for call in (peers_pb2.JOB_SUBMIT, peers_pb2.JOB_READ, peers_pb2.JOB_CANCEL):
-        assert send_call(context, call, context.accepted[-1]).status == 200
+        assert send(context, call, PREFIX + context.accepted[-1]).status == 200
 
 
 @then("a change of a configuration is refused as {code}")
@@ -379,4 +363,4 @@
     advance(context, seconds)
     job_id = allocate_job_id(context)
     context.cell.fleet.plans[job_id] = make_plan(make_step(1))
-    assert send_call(context, peers_pb2.JOB_SUBMIT, job_id).status == 200
+    assert send(context, peers_pb2.JOB_SUBMIT, PREFIX + job_id).status == 200
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,6 +1,5 @@
 from behave import then, when
 
-from dewspindle._internal.schema import jobs_pb2, peers_pb2
 from features.steps.job_steps import inject_worker_fault
 
 LEAVING_FAULTS = {
@@ -70,12 +69,13 @@
 def when_drain_repeated(context):
     cell = context.cell
     worker = cell.fleet.workers[0]
+    worker.is_draining = True
     context.acknowledged = []
     leader = cell.leader
 
     async def report():
-        beat = make_draining_heartbeat(worker)
-        context.acknowledged.append(await cell.fleet.send_to_leader(beat))
+        heartbeat = cell.fleet.make_heartbeat(worker)
+        context.acknowledged.append(await cell.fleet.send_to_leader(heartbeat))
 
     async def report_twice():
         cell.network.isolate(leader.address, [a for a in cell.addresses if a != leader.address])
@@ -88,24 +88,6 @@
     assert leader.replica.may_act_as_leader
 
 
-def make_draining_heartbeat(worker):
-    worker.heartbeat_sequence += 1
-    message = jobs_pb2.CalledWorker(
-        id=worker.id,
-        pool="pool",
-        address=worker.address,
-        capacity=worker.capacity.to_message(),
-        born_ms=worker.born_ms,
-    )
-    return peers_pb2.WorkerBeat(
-        worker=message,
-        draining=True,
-        remaining_ms=1000,
-        clock_ms=worker.clock_ms,
-        sequence=worker.heartbeat_sequence,
-    )
-
-
 @then("neither heartbeat is acknowledged before the leader lease is over")
 def then_not_acknowledged(context):
     assert not context.acknowledged, context.acknowledged
--- a/features/steps/same_id_steps.py
+++ b/features/steps/same_id_steps.py
@@ -3,7 +3,6 @@
 from dewspindle._internal.jobs.gateway import ActiveTask, StartOrder
 from dewspindle._internal.models.ids import JobId
 from dewspindle._internal.models.jobs import TaskRef
-from dewspindle._internal.schema import jobs_pb2, peers_pb2
 from features.lib.stepping import advance
 from features.steps.job_steps import make_plan, make_step, start_in_background, submit_job
 
@@ -31,14 +30,9 @@
     assert worker.runs and other.runs
     worker.loses_answers = True
     worker.sends_heartbeats = False
-    message = jobs_pb2.CalledWorker(
-        id=worker.id,
-        pool="pool",
-        address=other.address,
-        capacity=worker.capacity.to_message(),
-        born_ms=worker.born_ms - 60_000,
-    )
-    heartbeat = peers_pb2.WorkerBeat(worker=message, clock_ms=worker.clock_ms, sequence=9)
+    heartbeat = fleet.make_heartbeat(worker)
+    heartbeat.worker.address = other.address
+    heartbeat.worker.born_ms -= 60_000
     start_in_background(context, fleet.send_to_leader, heartbeat)
     advance(context, 4)
     worker.loses_answers = False
