Log why ready steps are held back, and each cut of the limit on starts

A step that waits beside free workers was reported as not-placed, whether its team's cap, the start budget or a silent worker held it back, or as no-approved-worker although the advisor was never asked. No line said why the limit on starts fell. The load line now tells these apart (team-cap, start-budget, may-run-already, not-asked), how many steps the last round looked at, and the lag and rate at each cut. Decisions are unchanged.

--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -68,6 +68,11 @@
         """Return the workers whose tickets stay valid long enough for a start."""
         return [worker for worker in self.expires_at if self.has_ticket(worker, now)]
 
+    @property
+    def was_asked(self) -> bool:
+        """Return whether a request was made."""
+        return bool(self.pending or self.tickets or self.refused or self.failures)
+
     @property
     def is_pending(self) -> bool:
         """Return whether a request is pending."""
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -297,12 +297,10 @@
         self._pacer.record_lag(lag_s, now=self._timers.now())
 
     def _measure_load(self) -> dict[str, Any]:
-        limit = self._pacer.limit
-        starts_limit = None if limit is None else round(limit)
         return {
             **self._planner.measure_load(),
             **self._advice.take_load(),
-            "starts_per_s_limit": starts_limit,
+            **self._pacer.take_load(),
         }
 
     async def _plan_rounds(self) -> None:
--- a/src/dewspindle/_internal/jobs/planner_load.py
+++ b/src/dewspindle/_internal/jobs/planner_load.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
-from enum import Enum
 from typing import Any
 
 from ..scheduling.job_placement import count_fitting
@@ -13,23 +12,13 @@
 from .fleet import Fleet
 from .fleet_worker import FleetWorker
 from .runs import StepRun
+from .wait_reasons import WaitReason
 
 MAX_EXPLAINED_STEPS = 20  # Steps of highest rank of which one report tells why they wait.
 
 logger = get_logger(__name__)
 
 
-class WaitReason(Enum):
-    """What the first waiting unit of a step lacks."""
-
-    RETRY_DELAY = "retry-delay"
-    NOT_APPROVED = "no-approved-worker"
-    NO_CAPACITY = "no-capacity"  # On the approved workers.
-    SET_ASIDE = "set-aside-for-others"  # Capacity is free only on such workers.
-    NO_TICKET = "no-valid-ticket"  # For enough of the workers with free capacity.
-    NOT_PLACED = "not-placed"  # Nothing of these, so a cap, the start budget or a silent worker.
-
-
 @dataclass(frozen=True, slots=True)
 class StepWorkers:
     """The usable workers that may run a step."""
@@ -37,6 +26,8 @@
     approved: list[FleetWorker]
     available: list[FleetWorker]  # Approved, and not set aside for another gang.
     admitted: list[FleetWorker]  # Available, with a valid ticket where the queue has an advisor.
+    was_advice_asked: bool
+    held_back_by: WaitReason | None  # Why the last round did not look for workers, if it did not.
 
 
 def find_wait_reason(step: StepRun, workers: StepWorkers, *, now: float) -> WaitReason:
@@ -44,8 +35,10 @@
     unit = next(iter(step.waiting.values()))
     if unit.not_before > now:
         return WaitReason.RETRY_DELAY
+    if workers.held_back_by is not None:
+        return workers.held_back_by
     if not workers.approved:
-        return WaitReason.NOT_APPROVED
+        return WaitReason.NOT_APPROVED if workers.was_advice_asked else WaitReason.NOT_ASKED
     for candidates, reason in (
         (workers.approved, WaitReason.NO_CAPACITY),
         (workers.available, WaitReason.SET_ASIDE),
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -24,6 +24,7 @@
 from .runs import JobRun, StepRun, UnitRun
 from .suspect_placement import choose_for_suspect, has_suspect
 from .team_work import TeamWork
+from .wait_reasons import WaitReason
 
 # Added to the score of a worker set aside, so that tasks of higher rank use others while they can.
 SET_ASIDE_PENALTY = 1.0
@@ -109,7 +110,16 @@
         """Return figures on waiting work and free capacity, as fractions, for the log."""
         ready = self._list_ready(latest_due_ms=self._timers.wall_ms(), now=self._timers.now())
         figures = self._load.measure(ready, list_workers=self._list_step_workers)
-        return {**figures, "reserved_workers": len(self._set_aside_before)}
+        return {
+            **figures,
+            "reserved_workers": len(self._set_aside_before),
+            "steps_looked_at": self.count_looked_at(),
+            "capped_teams": len(self._last_round.capped_teams),
+        }
+
+    def count_looked_at(self) -> int:
+        """Return for how many steps the last round looked for workers."""
+        return len(self._last_round.looked_at)
 
     def _list_step_workers(self, step: StepRun) -> StepWorkers:
         """Return the workers for a step as the last round left them."""
@@ -118,7 +128,13 @@
         approved = self._list_approved(step, queue, round_)
         available = [worker for worker in approved if round_.may_use(worker.id, step)]
         admitted = self._select_admitted(step, queue, available, now=self._timers.now())
-        return StepWorkers(approved, available, admitted)
+        return StepWorkers(
+            approved,
+            available,
+            admitted,
+            was_advice_asked=not queue.HasField("advisor") or self._advice.get(step.key).was_asked,
+            held_back_by=round_.get_hold_back_reason(step),
+        )
 
     @property
     def has_waiting(self) -> bool:
@@ -139,8 +155,10 @@
         for step in self._list_ready(latest_due_ms=wall_ms + early_ms, now=now):
             if round_.start_budget <= 0:
                 break
+            round_.looked_at.add(step.key)
             queue = self._store.get_current_queue(step.run.stored)
             if silent and step.may_run_already and self._may_run_on(silent, step, queue, round_):
+                round_.hold_back(step, WaitReason.MAY_RUN_ALREADY)
                 continue
             if step.message.gang:
                 self._place_gang(step, queue, round_)
@@ -247,7 +265,7 @@
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
                 continue
-            if not round_.check_cap(step.run.stored.team, step.amounts * unit.unit.size):
+            if not round_.check_cap(step, step.amounts * unit.unit.size):
                 continue
             available = [w for w in approved if round_.may_use(w.id, step)]
             admitted = self._select_admitted(step, queue, available, now=round_.now)
@@ -314,7 +332,7 @@
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         if all(unit.not_before > round_.now for unit in step.waiting.values()):
             return
-        if not round_.check_cap(step.run.stored.team, step.amounts):
+        if not round_.check_cap(step, step.amounts):
             return
         rank = self._rank(step, round_.now)
         candidates = self._select_admitted(
@@ -337,11 +355,10 @@
             fraction = compute_max_free_fraction(step.amounts, free, worker.capacity)
             return self._get_penalty(worker) + fraction
 
-        team = step.run.stored.team
         for unit in list(step.waiting.values()) if step.run.stored.has_crashes else ():
             if not unit.is_suspect or unit.not_before > round_.now:
                 continue
-            if not round_.check_cap(team, step.amounts):
+            if not round_.check_cap(step, step.amounts):
                 return
             worker = choose_for_suspect(unit, candidates, round_, score=score)
             if worker is None:
@@ -354,10 +371,11 @@
         queued = CandidateQueue(candidates, score=score)
         for unit in list(step.waiting.values()):
             if round_.start_budget <= 0:
+                round_.hold_back(step, WaitReason.START_BUDGET)
                 return
             if unit.not_before > round_.now:
                 continue
-            if not round_.check_cap(team, step.amounts):
+            if not round_.check_cap(step, step.amounts):
                 return
             worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
             if worker is None:
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -13,6 +13,7 @@
 from .fleet_worker import FleetWorker
 from .placements import Placement, PlacementPhase
 from .runs import StepRun, UnitRun
+from .wait_reasons import WaitReason
 
 STOP_S = 0.9  # Longest time from a stop order to the end of the task.
 # A task past its expected end is expected to end within this fraction of its expected duration.
@@ -56,6 +57,8 @@
         self.team_caps = team_caps
         self.capped_teams: set[str] = set()  # Teams whose work waits for their cap.
         self.starts: list[PlannedStart] = []
+        self.looked_at: set[StepKey] = set()
+        self._held_back: dict[StepKey, WaitReason] = {}
         self.advice_request_count = 0
         self.waiting_gangs: list[tuple[StepRun, GangWorkers]] = []
         self.workers_with_suspect: set[str] = set()  # Started in this round.
@@ -119,13 +122,25 @@
         self._free[source.id] = self.get_free(source) + amounts
         self._free[target.id] = self.get_free(target) - amounts
 
-    def check_cap(self, team: str, amounts: Amounts) -> bool:
-        """Return whether a start keeps a team within its cap; record the team if it does not."""
+    def check_cap(self, step: StepRun, amounts: Amounts) -> bool:
+        """Return whether a start keeps a team within its cap; record the step if it does not."""
+        team = step.run.stored.team
         if self.team_caps.allows(team, amounts):
             return True
         self.capped_teams.add(team)
+        self.hold_back(step, WaitReason.TEAM_CAP)
         return False
 
+    def hold_back(self, step: StepRun, reason: WaitReason) -> None:
+        """Record why no workers are looked for."""
+        self._held_back[step.key] = reason
+
+    def get_hold_back_reason(self, step: StepRun) -> WaitReason | None:
+        """Return why no workers were looked for, or None if they were or the step is new."""
+        if step.key not in self.looked_at and self.start_budget <= 0:
+            return WaitReason.START_BUDGET
+        return self._held_back.get(step.key)
+
     def sum_free(self) -> Amounts:
         """Return the free capacity of all usable workers together."""
         total = NO_RESOURCES
--- a/src/dewspindle/_internal/scheduling/start_pacing.py
+++ b/src/dewspindle/_internal/scheduling/start_pacing.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from typing import Any
 
 LAG_CHECK_INTERVAL_S = 0.1
 # Accepting a job takes some ten turns of the loop, and the shortest target latencies leave 0.3 s.
@@ -28,6 +29,7 @@
         self._tokens = 0.0
         self._refilled_at = 0.0
         self._starts: deque[tuple[float, int]] = deque()
+        self._cuts: list[tuple[float, float]] = []  # Lag and rate at each, since the last report.
 
     @property
     def limit(self) -> float | None:
@@ -40,11 +42,22 @@
         if lag_s > MAX_LAG_S:
             current = rate if self._limit is None else min(self._limit, max(rate, MIN_STARTS_PER_S))
             self._limit = max(MIN_STARTS_PER_S, current * DECREASE)
+            self._cuts.append((lag_s, rate))
         elif lag_s < RELAXED_LAG_S and self._limit is not None:
             self._limit *= INCREASE
             if self._limit > SLACK * max(rate, MIN_STARTS_PER_S):
                 self._limit = None
 
+    def take_load(self) -> dict[str, Any]:
+        """Return figures on the limit for the log, those on its cuts since the last time."""
+        cuts, self._cuts = self._cuts, []
+        return {
+            "starts_per_s_limit": None if self._limit is None else round(self._limit),
+            "start_limit_cuts": len(cuts),
+            "lags_at_cuts_ms": [round(lag_s * 1000) for lag_s, _ in cuts],
+            "starts_per_s_at_cuts": [round(rate) for _, rate in cuts],
+        }
+
     def record_starts(self, count: int, *, now: float) -> None:
         """Take the starts of a planning round from the budget."""
         if not count:
