--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -53,6 +53,7 @@
     # Those of the refused workers on which no earlier leader can have placed a task either.
     surely_refused: set[str] = field(default_factory=set)
     pending: set[str] = field(default_factory=set)  # Workers listed in requests without answer.
+    was_asked: bool = False  # Whether any request was made.
     failures: int = 0  # Consecutive calls without a decision.
     retry_at: float = float("-inf")
 
@@ -68,11 +69,6 @@
         """Return the workers whose tickets stay valid long enough for a start."""
         return [worker for worker in self.expires_at if self.has_ticket(worker, now)]
 
-    @property
-    def was_asked(self) -> bool:
-        """Return whether a request was made."""
-        return bool(self.pending or self.tickets or self.refused or self.failures)
-
     @property
     def is_pending(self) -> bool:
         """Return whether a request is pending."""
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -218,6 +218,7 @@
         if not workers:
             return
         round_.advice_request_count += 1
+        self._client.get(step.key).was_asked = True
         self._client.ask(
             AdviceRequest(
                 key=step.key,
