Look at each waiting step within a few rounds, and let stalled steps go first where workers are free

Callers saw accepted jobs whose ready step never started beside free workers. Requests and starts go in rank order, so what is overdue got neither as long as others arrived.

- A round goes on past its budget, for as many steps as may start within a second.
- It looks at 64 steps in rank order, at those whose advice has just come, and at 48 others in rotation, so that its duration does not grow with the backlog.
- Steps without a start for a second get a turn of 3 s, 32 at a time.
Where 0.4 of their pool is free, they come first for half of the budget; beyond that, rank decides as before.
- The longest waiting request is that of the step that has waited longest.
- A limited leader plans again after 0.05 s, as tokens are due then.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -156,6 +156,7 @@
         self._model = model
         self._steps: dict[StepKey, StepAdvice] = {}
         self._waiting: list[AdviceRequest] = []
+        self._advised: set[StepKey] = set()
         self._busy = 0
         self.odds = ApprovalOdds()
         self.calls = 0
@@ -174,6 +175,11 @@
         self._steps.pop(key, None)
         self._waiting = [request for request in self._waiting if request.key != key]
 
+    def take_advised(self) -> set[StepKey]:
+        """Return the steps whose requests were answered since the last time."""
+        advised, self._advised = self._advised, set()
+        return advised
+
     def ask(self, request: AdviceRequest) -> None:
         """Queue a request unless one is pending for the step."""
         self.get(request.key).pending.update(request.workers)
@@ -194,6 +200,7 @@
         advice = self._steps.get(request.key)
         if advice is not None:
             advice.pending.difference_update(request.workers)
+            self._advised.add(request.key)
             fraction = self._model.jobs[request.key[0]].kind.approved_fraction
             approved = {w: "t" for w in request.workers if _draw(request.key, w) < fraction}
             first = [worker for worker in request.workers if worker not in advice.tickets]
--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -405,7 +405,10 @@
                 call(*arguments)
             now = self.clock.now
             budget = math.inf if self.loop is None else self.loop.pacer.get_budget(now=now)
-            starts = self.planner.plan(workers_reconciled=True, early_ms=0, start_budget=budget)
+            limit = math.inf if self.loop is None else self.loop.pacer.starts_per_s
+            starts = self.planner.plan(
+                workers_reconciled=True, early_ms=0, start_budget=budget, starts_per_s=limit
+            )
             for start in starts:
                 self._start(start)
             self.client.dispatch()
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -136,6 +136,11 @@
     rank: tuple[float, ...]
     purpose: AdvicePurpose = AdvicePurpose.TASKS
     asked_at: float = 0.0
+    waiting_since: float | None = None  # When its step became ready; from the request on if None.
+
+    def get_waiting_since(self) -> float:
+        """Return since when the step waits, as far as it is known."""
+        return self.asked_at if self.waiting_since is None else self.waiting_since
 
     @property
     def is_long(self) -> bool:
@@ -196,6 +201,7 @@
         self._used_at: dict[str, float] = {}
         self._group: TaskGroup | None = None
         self._helper_count = 0  # At the last dispatch.
+        self._advised: set[StepKey] = set()  # Steps whose requests were answered lately.
         self._calls_by_rank = 0  # Calls since the longest waiting request had its turn.
         self._helper_seconds: defaultdict[AdvicePurpose, float] = defaultdict(float)
 
@@ -225,6 +231,11 @@
         self._steps.pop(key, None)
         self._waiting = [request for request in self._waiting if request.key != key]
 
+    def take_advised(self) -> set[StepKey]:
+        """Return the steps whose requests were answered since the last time."""
+        advised, self._advised = self._advised, set()
+        return advised
+
     def ask(self, request: AdviceRequest) -> None:
         """Queue a request unless it lists a pending worker or a call failed recently."""
         advice = self.get(request.key)
@@ -270,14 +281,14 @@
             self._group.start_soon(self._call_helper, helper.address, request)
 
     def _choose_next(self, ranked: list[AdviceRequest], now: float) -> AdviceRequest:
-        """Return the request of highest rank or, in its turn, the one that has waited longest.
+        """Return the request of highest rank or, in its turn, that of the step waiting longest.
 
         Otherwise a request would wait as long as enough others of higher rank are made.
         """
         if self._calls_by_rank < CALLS_PER_OLDEST - 1:
             return ranked[0]
-        oldest = min(reversed(ranked), key=lambda request: request.asked_at)
-        return ranked[0] if now - oldest.asked_at < OLD_REQUEST_S else oldest
+        oldest = min(reversed(ranked), key=AdviceRequest.get_waiting_since)
+        return ranked[0] if now - oldest.get_waiting_since() < OLD_REQUEST_S else oldest
 
     def take_load(self) -> dict[str, Any]:
         """Return figures on helpers and requests for the log, those on calls since the last time.
@@ -331,6 +342,7 @@
         advice = self._steps.get(request.key)
         if advice is not None:
             advice.pending.difference_update(request.workers)
+            self._advised.add(request.key)
             self._apply_answer(advice, request, answer)
         self._on_answer()
 
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -13,6 +13,7 @@
     split_request,
 )
 from ..scheduling.job_placement import count_fitting
+from ..scheduling.start_turns import StartTurns
 from ..schema import jobs_pb2
 from .advice import (
     LONG_CALL_S,
@@ -20,6 +21,7 @@
     AdvicePurpose,
     AdviceRequest,
     StepAdvice,
+    StepKey,
     estimate_call_s,
 )
 from .fleet_worker import FleetWorker
@@ -38,8 +40,9 @@
 class AdvicePlanner:
     """Requests advice for steps that may start soon."""
 
-    def __init__(self, client: AdviceClient) -> None:
+    def __init__(self, client: AdviceClient, *, turns: StartTurns[StepKey]) -> None:
         self._client = client
+        self._turns = turns
 
     def ask_for_tasks(
         self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound, *, rank: Rank
@@ -85,6 +88,7 @@
         call_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
         return (
             call_s <= LONG_CALL_S
+            or step.key in round_.in_turn
             or self._client.has_spare_helper
             or round_.may_earmark(step, queue.pool)
         )
@@ -227,6 +231,7 @@
                 expected_s=estimate_call_s(queue.advisor, len(workers)),
                 rank=rank,
                 purpose=purpose,
+                waiting_since=self._turns.get_stalled_since(step.key),
             )
         )
 
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -40,6 +40,7 @@
 PLAN_INTERVAL_S = 0.01  # Minimum time between two rounds, so that one round handles many events.
 # Pause after a round as a multiple of its duration, so that planning does not delay answers.
 PLAN_PAUSE_FACTOR = 3.0
+PACED_INTERVAL_S = 0.05  # The same while starts are limited, as the next ones may be due.
 IDLE_INTERVAL_S = 0.25  # Maximum time between two rounds while work waits, as tickets expire.
 EXPIRE_INTERVAL_S = 10.0
 
@@ -314,6 +315,7 @@
                     workers_reconciled=self._workers_reconciled,
                     early_ms=self._limits.early_ms,
                     start_budget=self._pacer.get_budget(now=began_at),
+                    starts_per_s=self._pacer.starts_per_s,
                 )
                 for start in starts:
                     self._start_unit(start)
@@ -323,7 +325,9 @@
             took_s = self._timers.now() - began_at
             self._load.record_round(took_s, is_lapsed=not may_act)
             await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s))
-            await wait_for_event(self._timers, event=event, seconds=IDLE_INTERVAL_S)
+            is_paced = self._pacer.limit is not None and self._planner.has_waiting
+            seconds = PACED_INTERVAL_S if is_paced else IDLE_INTERVAL_S
+            await wait_for_event(self._timers, event=event, seconds=seconds)
 
     def _check_reconciled(self) -> None:
         """Release inherited jobs once all workers are reconciled.
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -21,6 +21,7 @@
 from .planner_load import PlannerLoad, StepWorkers
 from .planning_round import PlannedStart, PlanningRound
 from .relocation import StartRelocator
+from .round_order import RoundOrderer
 from .runs import JobRun, StepRun, UnitRun
 from .suspect_placement import choose_for_suspect, has_suspect
 from .team_work import TeamWork
@@ -49,7 +50,8 @@
         self._store = store
         self._timers = timers
         self._waiting: dict[StepKey, StepRun] = {}
-        self._advice_planner = AdvicePlanner(advice)
+        self._orderer = RoundOrderer()
+        self._advice_planner = AdvicePlanner(advice, turns=self._orderer.turns)
         self._set_aside_before: frozenset[str] = frozenset()  # For gangs, in the last round.
         self._teams = TeamWork(fleet=fleet, store=store)
         self._last_round = PlanningRound(fleet, now=timers.now(), team_caps=self._teams.caps)
@@ -142,19 +144,66 @@
         return any(step.waiting for step in self._waiting.values())
 
     def plan(
-        self, *, workers_reconciled: bool, early_ms: int, start_budget: float = math.inf
+        self,
+        *,
+        workers_reconciled: bool,
+        early_ms: int,
+        start_budget: float = math.inf,
+        starts_per_s: float = math.inf,
     ) -> list[PlannedStart]:
-        """Return the units to start now, in rank order until the budget of tasks is used up."""
+        """Return the units to start now, in rank order until the budget of tasks is used up.
+
+        Where workers are free, steps that have waited long come before those of higher rank, for a
+        part of the budget. `starts_per_s` is the limit behind the budget.
+        """
         now = self._timers.now()
         wall_ms = self._timers.wall_ms()
         self._teams.begin_round(self._waiting.values(), workers_reconciled=workers_reconciled)
         round_ = PlanningRound(
-            self._fleet, now=now, team_caps=self._teams.caps, start_budget=start_budget
+            self._fleet,
+            now=now,
+            team_caps=self._teams.caps,
+            start_budget=start_budget,
+            starts_per_s=starts_per_s,
         )
+        ready = self._list_ready(latest_due_ms=wall_ms + early_ms, now=now)
+        order = self._orderer.choose(ready, advised=self._advice.take_advised(), now=now)
         silent = [] if workers_reconciled else self._list_silent()
-        for step in self._list_ready(latest_due_ms=wall_ms + early_ms, now=now):
-            if round_.start_budget <= 0:
-                break
+        first = [step for step in order.in_turn if self._has_spare_capacity(step, round_)]
+        self._place_in_turn(first, round_, silent=silent)
+        ranked = [step for step in order.ranked if step.key not in round_.in_turn]
+        self._place_steps(ranked, round_, silent=silent)
+        self._relocator.relocate(round_)
+        self._last_round = round_
+        self._set_aside_before = frozenset().union(
+            *(chosen.workers for _, chosen in round_.waiting_gangs)
+        )
+        self._teams.finish_round(self._waiting.values(), round_, latest_due_ms=wall_ms + early_ms)
+        return round_.starts
+
+    def _has_spare_capacity(self, step: StepRun, round_: PlanningRound) -> bool:
+        return round_.has_spare_capacity(self._store.get_current_queue(step.run.stored).pool)
+
+    def _place_in_turn(
+        self, steps: list[StepRun], round_: PlanningRound, *, silent: list[SilentWorker]
+    ) -> None:
+        """Place stalled steps, for a part of the budget where it is limited."""
+        if round_.start_budget <= 0:
+            return
+        kept = 0.0 if math.isinf(round_.start_budget) else round_.start_budget / 2
+        round_.in_turn = frozenset(step.key for step in steps)
+        round_.start_budget -= kept
+        self._place_steps(steps, round_, silent=silent)
+        round_.start_budget += kept
+
+    def _place_steps(
+        self, steps: list[StepRun], round_: PlanningRound, *, silent: list[SilentWorker]
+    ) -> None:
+        """Place what can start of some steps, and request advice for the others."""
+        for step in steps:
+            if not round_.may_look_ahead:
+                round_.hold_back(step, WaitReason.START_BUDGET)
+                continue
             round_.looked_at.add(step.key)
             queue = self._store.get_current_queue(step.run.stored)
             if silent and step.may_run_already and self._may_run_on(silent, step, queue, round_):
@@ -164,13 +213,6 @@
                 self._place_gang(step, queue, round_)
             else:
                 self._place_tasks(step, queue, round_)
-        self._relocator.relocate(round_)
-        self._last_round = round_
-        self._set_aside_before = frozenset().union(
-            *(chosen.workers for _, chosen in round_.waiting_gangs)
-        )
-        self._teams.finish_round(self._waiting.values(), round_, latest_due_ms=wall_ms + early_ms)
-        return round_.starts
 
     def _list_silent(self) -> list[SilentWorker]:
         """Return the workers that have not told this leader yet what runs on them."""
@@ -274,6 +316,9 @@
                 apart = [worker for worker in admitted if not has_suspect(worker, round_)]
                 chosen = self._pack(step, unit, apart, round_)
             chosen = chosen or self._pack(step, unit, admitted, round_)
+            if chosen is not None and round_.start_budget <= 0:
+                round_.defer(step)
+                chosen = None
             if chosen is None:
                 self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
@@ -371,7 +416,7 @@
         queued = CandidateQueue(candidates, score=score)
         for unit in list(step.waiting.values()):
             if round_.start_budget <= 0:
-                round_.hold_back(step, WaitReason.START_BUDGET)
+                round_.defer(step)
                 return
             if unit.not_before > round_.now:
                 continue
@@ -394,4 +439,5 @@
             assert worker is not None
             round_.allocate(worker, step.amounts, team=step.run.stored.team)
         self.remove_unit(unit)
+        self._orderer.turns.record_start(step.key)
         round_.starts.append(PlannedStart(unit=unit, workers=workers, tickets=tickets))
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -19,12 +19,24 @@
 # A task past its expected end is expected to end within this fraction of its expected duration.
 OVERRUN_FRACTION = 0.25
 MIN_OVERRUN_S = 0.2  # Also for tasks without an estimate.
+ASK_AHEAD_S = 1.0  # Starts that the limit on starts allows later than this get no advice yet.
+# Free processors and memory of a pool beyond which steps start for want of something else. The
+# promise to callers begins at half.
+SPARE_FRACTION = 0.4
 EARMARK_HORIZON_S = 1.0  # A long call to the advisor takes about as long.
 # Multiple of the capacity expected to be free for which steps may request advice at the same time,
 # as the advisor approves only some of the workers that have it.
 EARMARK_FACTOR = 2
 
 
+def _get_processors(amounts: Amounts) -> int:
+    return amounts.processors
+
+
+def _get_memory_mb(amounts: Amounts) -> int:
+    return amounts.memory_mb
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedStart:
     """A unit to start now, with its workers by task position and its tickets by worker."""
@@ -50,10 +62,18 @@
     """The capacity and workers that one planning round has allocated so far."""
 
     def __init__(
-        self, fleet: Fleet, *, now: float, team_caps: TeamCaps, start_budget: float = math.inf
+        self,
+        fleet: Fleet,
+        *,
+        now: float,
+        team_caps: TeamCaps,
+        start_budget: float = math.inf,
+        starts_per_s: float = math.inf,
     ) -> None:
         self.now = now
         self.start_budget = start_budget  # Tasks that may still be started in this round.
+        self._starts_ahead = starts_per_s * ASK_AHEAD_S  # For which advice may be sought now.
+        self.in_turn: frozenset[StepKey] = frozenset()  # Stalled steps that go first.
         self.team_caps = team_caps
         self.capped_teams: set[str] = set()  # Teams whose work waits for their cap.
         self.starts: list[PlannedStart] = []
@@ -65,6 +85,7 @@
         self._fleet = fleet
         self._free: dict[str, Amounts] = {}
         self._pools: dict[str, dict[str, FleetWorker]] = {}
+        self._spare_pools: dict[str, bool] = {}
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
@@ -137,10 +158,34 @@
 
     def get_hold_back_reason(self, step: StepRun) -> WaitReason | None:
         """Return why no workers were looked for, or None if they were or the step is new."""
-        if step.key not in self.looked_at and self.start_budget <= 0:
-            return WaitReason.START_BUDGET
         return self._held_back.get(step.key)
 
+    def defer(self, step: StepRun) -> None:
+        """Record that a step that may start waits for the budget of a later round."""
+        self.hold_back(step, WaitReason.START_BUDGET)
+        self._starts_ahead -= step.count_waiting_tasks()
+
+    @property
+    def may_look_ahead(self) -> bool:
+        """Return whether a step may get advice before its start is within the budget.
+
+        The tickets of steps that start much later would end before.
+        """
+        return self.start_budget > 0 or self._starts_ahead > 0
+
+    def has_spare_capacity(self, pool: str) -> bool:
+        """Return whether so much of a pool is free that workers are not what steps wait for."""
+        is_spare = self._spare_pools.get(pool)
+        if is_spare is None:
+            usable = list(self.get_usable(pool).values())
+            is_spare = all(
+                sum(get(w.free) for w in usable)
+                > SPARE_FRACTION * sum(get(w.capacity) for w in usable)
+                for get in (_get_processors, _get_memory_mb)
+            )
+            self._spare_pools[pool] = is_spare
+        return is_spare
+
     def sum_free(self) -> Amounts:
         """Return the free capacity of all usable workers together."""
         total = NO_RESOURCES
--- a/src/dewspindle/_internal/scheduling/start_pacing.py
+++ b/src/dewspindle/_internal/scheduling/start_pacing.py
@@ -9,6 +9,7 @@
 help. So the limit only falls where the lag lasts and as many tasks start as the limit allows.
 """
 
+import math
 from collections import deque
 from typing import Any
 
@@ -44,6 +45,11 @@
         """Return the limit in starts a second, or None."""
         return self._limit
 
+    @property
+    def starts_per_s(self) -> float:
+        """Return the limit in starts a second, infinity without one."""
+        return math.inf if self._limit is None else self._limit
+
     def record_lag(self, lag_s: float, *, now: float) -> None:
         """Adapt the limit to the lag of one check."""
         rate = self._measure_rate(now)
