Ask again about workers that an incomplete answer of the advisor left out

An answer of which some approvals could not be read counted as a refusal of all other workers for good, so that a step of few workers waited without end. Such workers may now be listed again once the tickets of that answer have ended. They were kept apart from sure refusals for steps of an earlier leader; this needs no second set any more.

--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -49,9 +49,10 @@
     # By worker, for every worker ever approved, also after its ticket expired or was rejected.
     tickets: dict[str, str] = field(default_factory=dict)
     expires_at: dict[str, float] = field(default_factory=dict)  # By worker, unless rejected.
-    refused: set[str] = field(default_factory=set)  # No task is placed there.
-    # Those of the refused workers on which no earlier leader can have placed a task either.
-    surely_refused: set[str] = field(default_factory=set)
+    # No task is placed there, nor can an earlier leader have placed one.
+    refused: set[str] = field(default_factory=set)
+    # Those left out by an incomplete answer, with the time at which they may be listed again.
+    left_out_until: dict[str, float] = field(default_factory=dict)
     pending: set[str] = field(default_factory=set)  # Workers listed in requests without answer.
     was_asked: bool = False  # Whether any request was made.
     failures: int = 0  # Consecutive calls without a decision.
@@ -88,6 +89,10 @@
         """Return whether the delay after a failed call has passed."""
         return now >= self.retry_at
 
+    def is_refused(self, worker_id: str, now: float) -> bool:
+        """Return whether a worker need not be listed: it is refused, or was left out just now."""
+        return worker_id in self.refused or self.left_out_until.get(worker_id, 0.0) > now
+
     def needs_renewal(self, worker_id: str, now: float, *, within_s: float) -> bool:
         """Return whether the ticket of an approved worker ends within a time."""
         return self.expires_at.get(worker_id, 0.0) < now + within_s
@@ -104,12 +109,14 @@
         self.tickets.update(approved)
         self.expires_at.update(dict.fromkeys(approved, expires_at))
         for worker in workers:
-            if worker not in approved:
+            if worker in approved:
+                continue
+            if is_incomplete:
+                self.left_out_until[worker] = expires_at
+            else:
                 self.refused.add(worker)
-                if not is_incomplete:
-                    self.surely_refused.add(worker)
-                self.tickets.pop(worker, None)
-                self.expires_at.pop(worker, None)
+            self.tickets.pop(worker, None)
+            self.expires_at.pop(worker, None)
 
     def drop_ticket(self, worker_id: str) -> None:
         """Mark a ticket that a worker rejected as not valid."""
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -62,7 +62,7 @@
             worker.id: count_fitting(step.amounts, round_.get_free(worker))
             or count_fitting(step.amounts, round_.get_expected_free(worker, within_s=horizon_s))
             for worker in round_.get_usable(queue.pool).values()
-            if worker.id not in advice.refused
+            if not advice.is_refused(worker.id, round_.now)
             and not advice.has_ticket(worker.id, round_.now)
             and step.accepts(worker.message.labels)
             and round_.may_use(worker.id, step)
@@ -115,7 +115,7 @@
             worker
             for worker in round_.get_usable(queue.pool).values()
             if worker.id not in advice.tickets
-            and worker.id not in advice.refused
+            and not advice.is_refused(worker.id, round_.now)
             and step.accepts(worker.message.labels)
             and step.amounts.fits_in(worker.capacity)
         ]
@@ -195,7 +195,7 @@
         undecided = [
             worker
             for worker in workers
-            if worker not in advice.tickets and worker not in advice.refused
+            if worker not in advice.tickets and not advice.is_refused(worker, round_.now)
         ]
         if len(undecided) < len(workers) or not round_.have_missed_renewal(workers):
             return
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -235,7 +235,7 @@
         workers = list_possible_workers(
             silent,
             required_label=step.message.required_label,
-            refused=self._advice.get(step.key).surely_refused if is_advised else (),
+            refused=self._advice.get(step.key).refused if is_advised else (),
         )
         if is_advised:
             self._advice_planner.ask_about_silent(
