End the probation of a worker after 3 s, also beside tasks that last

Accepted jobs never started on nearly empty workers. Probation now ends by time as well; a task that stands still is noticed after 2 s, before that.

--- a/src/dewspindle/_internal/jobs/fleet_worker.py
+++ b/src/dewspindle/_internal/jobs/fleet_worker.py
@@ -18,6 +18,9 @@
 SUSPENSION_BASE_S = 2.0  # First suspension, after failed or stuck tasks or a rejected start.
 SUSPENSION_MAX_S = 16.0
 UNANSWERED_SUSPENSION_S = 1.0
+# Longest time on probation. Tasks that last have no end that shows that the worker is sound; tasks
+# that stand still are noticed sooner than this.
+MAX_PROBATION_S = 3.0
 # A worker that answers again after unanswered calls is a sign that orders are delayed. Other
 # unanswered orders may then still arrive for as long as an order can take, `MAX_ORDER_DELAY_S`.
 LATE_ORDER_WINDOW_S = 12.0
@@ -136,7 +139,8 @@
         if now - self.capacity_known_at >= self.heartbeat_timeout_s:
             return "silent"
         # After a suspension, one task must succeed on the worker before others are placed there.
-        if self.consecutive_suspensions and self.placements:
+        is_tried = now < self.suspended_until + MAX_PROBATION_S
+        if self.consecutive_suspensions and self.placements and is_tried:
             return "on probation"
         return ""
 
