Start a stalled task where it ended badly if all other workers are full

A task avoided a worker on which it had ended badly as long as any other approved worker was known, full or not, and so waited beside free room for as long as the others were full. Once it has waited for its turn it is placed there.

--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -169,6 +169,7 @@
         ready = self._list_ready(latest_due_ms=wall_ms + early_ms, now=now)
         order = self._orderer.choose(ready, advised=self._advice.take_advised(), now=now)
         silent = [] if workers_reconciled else self._list_silent()
+        round_.stalled = frozenset(step.key for step in order.in_turn)
         first = [step for step in order.in_turn if self._has_spare_capacity(step, round_)]
         self._place_in_turn(first, round_, silent=silent)
         ranked = [step for step in order.ranked if step.key not in round_.in_turn]
@@ -423,6 +424,8 @@
             if not round_.check_cap(step, step.amounts):
                 return
             worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
+            if worker is None and unit.avoided and step.key in round_.stalled:
+                worker = queued.take()
             if worker is None:
                 self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
                 return
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -73,7 +73,8 @@
         self.now = now
         self.start_budget = start_budget  # Tasks that may still be started in this round.
         self._starts_ahead = starts_per_s * ASK_AHEAD_S  # For which advice may be sought now.
-        self.in_turn: frozenset[StepKey] = frozenset()  # Stalled steps that go first.
+        self.stalled: frozenset[StepKey] = frozenset()  # Steps that have waited long.
+        self.in_turn: frozenset[StepKey] = frozenset()  # Those of them that go first.
         self.team_caps = team_caps
         self.capped_teams: set[str] = set()  # Teams whose work waits for their cap.
         self.starts: list[PlannedStart] = []
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -46,7 +46,7 @@
         self.checkpoint = ""  # From which the next attempt continues.
         self.not_before = float("-inf")  # Monotonic time before which it is not placed again.
         # Workers on which it ended badly or got stuck. A single task is placed there only if all
-        # candidates are among them; a gang is placed regardless.
+        # candidates are among them, or if it has waited long; a gang is placed regardless.
         self.avoided: set[str] = set()
         self.is_counted = False  # Whether the step has counted it as done.
 
