Keep planning rounds short while many steps wait, and limit only long requests a round

A round looks at 48 steps in rank order and 24 in rotation; stalled steps are only added where they may go first. A step with a pending request no longer looks at all workers, full workers are passed over first, and the capacity that is expected to be free is kept for the round.

--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -28,8 +28,8 @@
 from .planning_round import PlanningRound
 from .runs import StepRun
 
-# Requests in one round, in rank order; the next round goes on.
-MAX_REQUESTS_PER_ROUND = 12
+# Requests for long calls in one round, in rank order; the next round goes on.
+MAX_LONG_REQUESTS_PER_ROUND = 12
 # Tickets of workers set aside for a gang are renewed this long before the call that renews them
 # would have to begin.
 RENEWAL_MARGIN_S = 0.3
@@ -58,18 +58,23 @@
         horizon_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
         if horizon_s <= LONG_CALL_S:
             horizon_s = 0.0  # A short call is answered before anything changes.
+        usable = round_.get_usable(queue.pool)
+        listed: Iterable[FleetWorker] = usable.values()
+        if advice.is_pending:
+            listed = [usable[worker] for worker in advice.pending if worker in usable]
         fits = {
-            worker.id: count_fitting(step.amounts, round_.get_free(worker))
-            or count_fitting(step.amounts, round_.get_expected_free(worker, within_s=horizon_s))
-            for worker in round_.get_usable(queue.pool).values()
+            worker.id: count
+            for worker in listed
+            # Only a short call lists workers without capacity. Checked first, as most are full.
+            if (count := count_expected_room(step, round_, worker, within_s=horizon_s))
+            or not horizon_s
             if not advice.is_refused(worker.id, round_.now)
             and not advice.has_ticket(worker.id, round_.now)
             and step.accepts(worker.message.labels)
             and round_.may_use(worker.id, step)
         }
         if advice.is_pending:
-            room = sum(fits.get(worker, 0) for worker in advice.pending)
-            round_.earmark(step, queue.pool, count=min(room, len(step.waiting)))
+            round_.earmark(step, queue.pool, count=min(sum(fits.values()), len(step.waiting)))
             return
         workers = choose_advice_candidates(
             fits,
@@ -205,7 +210,10 @@
     def _may_ask(queue: jobs_pb2.Queue, advice: StepAdvice, round_: PlanningRound) -> bool:
         return (
             queue.HasField("advisor")
-            and round_.advice_request_count < MAX_REQUESTS_PER_ROUND
+            and (
+                round_.long_request_count < MAX_LONG_REQUESTS_PER_ROUND
+                or estimate_call_s(queue.advisor, count_listed(queue.advisor)) <= LONG_CALL_S
+            )
             and advice.may_ask(round_.now)
         )
 
@@ -221,19 +229,18 @@
     ) -> None:
         if not workers:
             return
-        round_.advice_request_count += 1
-        self._client.get(step.key).was_asked = True
-        self._client.ask(
-            AdviceRequest(
-                key=step.key,
-                queue=queue.name,
-                workers=workers,
-                expected_s=estimate_call_s(queue.advisor, len(workers)),
-                rank=rank,
-                purpose=purpose,
-                waiting_since=self._turns.get_stalled_since(step.key),
-            )
+        request = AdviceRequest(
+            key=step.key,
+            queue=queue.name,
+            workers=workers,
+            expected_s=estimate_call_s(queue.advisor, len(workers)),
+            rank=rank,
+            purpose=purpose,
+            waiting_since=self._turns.get_stalled_since(step.key),
         )
+        round_.long_request_count += request.is_long
+        self._client.get(step.key).was_asked = True
+        self._client.ask(request)
 
 
 def count_listed(advisor: jobs_pb2.Advisor) -> int:
@@ -248,6 +255,18 @@
     return math.ceil(step.message.count / max(1, min(fitting, limit)))
 
 
+def count_expected_room(
+    step: StepRun, round_: PlanningRound, worker: FleetWorker, *, within_s: float
+) -> int:
+    """Return how many tasks of a step fit on a worker now or, if none does, within a time."""
+    expected = round_.get_expected_free(worker, within_s=within_s)
+    if not step.amounts.fits_in(expected):
+        return 0
+    return count_fitting(step.amounts, round_.get_free(worker)) or count_fitting(
+        step.amounts, expected
+    )
+
+
 def count_gang_room(step: StepRun, round_: PlanningRound, workers: Iterable[FleetWorker]) -> int:
     """Return how many members of a gang fit on workers that are not set aside for others."""
     limit = step.message.max_per_worker or step.message.count
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -167,13 +167,16 @@
             starts_per_s=starts_per_s,
         )
         ready = self._list_ready(latest_due_ms=wall_ms + early_ms, now=now)
-        order = self._orderer.choose(ready, advised=self._advice.take_advised(), now=now)
+        order = self._orderer.choose(
+            ready,
+            advised=self._advice.take_advised(),
+            may_go_first=lambda step: self._has_spare_capacity(step, round_),
+            now=now,
+        )
         silent = [] if workers_reconciled else self._list_silent()
-        round_.stalled = frozenset(step.key for step in order.in_turn)
-        first = [step for step in order.in_turn if self._has_spare_capacity(step, round_)]
-        self._place_in_turn(first, round_, silent=silent)
-        ranked = [step for step in order.ranked if step.key not in round_.in_turn]
-        self._place_steps(ranked, round_, silent=silent)
+        round_.stalled = frozenset(self._orderer.turns.list_turns())
+        self._place_in_turn(order.in_turn, round_, silent=silent)
+        self._place_steps(order.ranked, round_, silent=silent)
         self._relocator.relocate(round_)
         self._last_round = round_
         self._set_aside_before = frozenset().union(
@@ -189,8 +192,6 @@
         self, steps: list[StepRun], round_: PlanningRound, *, silent: list[SilentWorker]
     ) -> None:
         """Place stalled steps, for a part of the budget where it is limited."""
-        if round_.start_budget <= 0:
-            return
         kept = 0.0 if math.isinf(round_.start_budget) else round_.start_budget / 2
         round_.in_turn = frozenset(step.key for step in steps)
         round_.start_budget -= kept
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -80,7 +80,7 @@
         self.starts: list[PlannedStart] = []
         self.looked_at: set[StepKey] = set()
         self._held_back: dict[StepKey, WaitReason] = {}
-        self.advice_request_count = 0
+        self.long_request_count = 0
         self.waiting_gangs: list[tuple[StepRun, GangWorkers]] = []
         self.workers_with_suspect: set[str] = set()  # Started in this round.
         self._fleet = fleet
@@ -89,6 +89,8 @@
         self._spare_pools: dict[str, bool] = {}
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
+        # Capacity expected to be free, by time from now and worker.
+        self._expected: dict[float, dict[str, Amounts]] = defaultdict(dict)
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
         self._earmarked: dict[str, Amounts] = defaultdict(Amounts)  # By pool.
         self._earmarking_steps: set[StepKey] = set()
@@ -137,13 +139,18 @@
     def allocate(self, worker: FleetWorker, amounts: Amounts, *, team: str) -> None:
         """Allocate capacity of a worker to a task of a team."""
         self.start_budget -= 1
-        self._free[worker.id] = self.get_free(worker) - amounts
+        self._set_free(worker, self.get_free(worker) - amounts)
         self.team_caps.allocate(team, amounts)
 
     def move(self, source: FleetWorker, target: FleetWorker, amounts: Amounts) -> None:
         """Move the capacity of a task that starts in this round to another worker."""
-        self._free[source.id] = self.get_free(source) + amounts
-        self._free[target.id] = self.get_free(target) - amounts
+        self._set_free(source, self.get_free(source) + amounts)
+        self._set_free(target, self.get_free(target) - amounts)
+
+    def _set_free(self, worker: FleetWorker, free: Amounts) -> None:
+        self._free[worker.id] = free
+        for expected in self._expected.values():
+            expected.pop(worker.id, None)
 
     def check_cap(self, step: StepRun, amounts: Amounts) -> bool:
         """Return whether a start keeps a team within its cap; record the step if it does not.
@@ -223,14 +230,17 @@
 
     def get_expected_free(self, worker: FleetWorker, *, within_s: float) -> Amounts:
         """Return the capacity of a worker that is free now or expected to be within a time."""
-        free = self.get_free(worker)
         if not within_s:
-            return free
-        for release in self.make_outlook(worker).releases:
-            if release.at > self.now + within_s:
-                break
-            free += release.amounts
-        return free
+            return self.get_free(worker)
+        expected = self._expected[within_s].get(worker.id)
+        if expected is None:
+            expected = self.get_free(worker)
+            for release in self.make_outlook(worker).releases:
+                if release.at > self.now + within_s:
+                    break
+                expected += release.amounts
+            self._expected[within_s][worker.id] = expected
+        return expected
 
     def earmark(self, step: StepRun, pool: str, *, count: int) -> None:
         """Count once the capacity for the tasks of a step that a request for advice may bring."""
--- a/src/dewspindle/_internal/jobs/round_order.py
+++ b/src/dewspindle/_internal/jobs/round_order.py
@@ -5,23 +5,23 @@
 """
 
 import heapq
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 from ..scheduling.start_turns import StartTurns
 from .advice import StepKey
 from .runs import StepRun
 
-MAX_RANKED = 64  # Steps of highest rank, which each round looks at.
-MAX_ROTATED = 48  # Of the others, those that were looked at longest ago.
+MAX_RANKED = 48  # Steps of highest rank, which each round looks at.
+MAX_ROTATED = 24  # Of the others, those that were looked at longest ago.
 
 
 @dataclass(frozen=True, slots=True)
 class RoundOrder:
     """The steps that a round looks at."""
 
-    in_turn: list[StepRun]  # Stalled steps, which go first where workers are free.
-    ranked: list[StepRun]  # All of them, in rank order.
+    in_turn: list[StepRun]  # Stalled steps, which go first.
+    ranked: list[StepRun]  # All others, in rank order.
 
 
 class RoundOrderer:
@@ -38,20 +38,27 @@
         return self._turns
 
     def choose(
-        self, ready: Sequence[StepRun], *, advised: Collection[StepKey], now: float
+        self,
+        ready: Sequence[StepRun],
+        *,
+        advised: Collection[StepKey],
+        may_go_first: Callable[[StepRun], bool],
+        now: float,
     ) -> RoundOrder:
         """Return the steps to look at, given all ready ones in rank order.
 
+        `may_go_first` tells whether a stalled step may come before those of higher rank.
         `advised` are those whose requests for advice were answered since the last round, as the
         tickets that they got do not stay valid for long.
         """
         self._rounds += 1
         by_key = {step.key: step for step in ready}
         self._turns.update(by_key, now=now)
-        in_turn = [by_key[key] for key in self._turns.list_turns()]
+        stalled = [by_key[key] for key in self._turns.list_turns()]
+        in_turn = {step.key: step for step in stalled if may_go_first(step)}
         chosen = {step.key for step in ready[:MAX_RANKED]}
         chosen.update(key for key in advised if key in by_key)
-        chosen.update(step.key for step in in_turn)
+        chosen.update(in_turn)
         rest = [step for step in ready if step.key not in chosen]
         last = self._looked_at
         rotated = heapq.nsmallest(MAX_ROTATED, rest, key=lambda step: last.get(step.key, 0))
@@ -59,4 +66,5 @@
         self._looked_at = {key: last.get(key, 0) for key in by_key} | dict.fromkeys(
             chosen, self._rounds
         )
-        return RoundOrder(in_turn, [step for step in ready if step.key in chosen])
+        ranked = [step for step in ready if step.key in chosen and step.key not in in_turn]
+        return RoundOrder(list(in_turn.values()), ranked)
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -132,11 +132,12 @@
         # An earlier leader may have started tasks of the step. It cannot have if the steps that
         # this one depends on were not done yet when this leader took over.
         self.may_run_already = False
+        self._key = (run.stored.id, occurrence, index)
 
     @property
     def key(self) -> tuple[JobId, int, int]:
         """Return the job, occurrence and index of the step."""
-        return (self.run.stored.id, self.occurrence, self.index)
+        return self._key
 
     @property
     def is_ready(self) -> bool:
