Suspend no worker for longer than 2 s while most of its pool is suspended

Suspensions last up to 16 s. Where failures of tasks that are themselves at fault suspend most of a pool, a ready step waited that long beside free workers (found by looking for the same cause elsewhere). Failures of most workers say nothing on single ones, so that then only the first 2 s of a suspension count, and no probation. A worker that may have shrunk is told apart before a suspended one, so that it is never used. The scenario of start_bound.feature failed before; a second one shows that a single suspended worker still gets nothing.

--- a/features/start_bound.feature
+++ b/features/start_bound.feature
@@ -54,6 +54,21 @@
     When 8 seconds of planning pass
     Then no task waits for placement
 
+  Scenario: A task starts although all workers were suspended after failed tasks
+    Given a leader that plans steps on 4 workers of 32 cores
+    And each worker is suspended for 16 seconds after its tasks failed again and again
+    And a task of 2 cores that needs no advice and becomes ready at second 1
+    When 8 seconds of planning pass
+    Then no task waits for placement
+
+  Scenario: A suspended worker gets no task while most others are sound
+    Given a leader that plans steps on 4 workers of 32 cores
+    And worker 0 is suspended for 16 seconds after its tasks failed again and again
+    And workers 1 to 3 are full for 30 seconds
+    And a task of 2 cores that needs no advice and becomes ready at second 1
+    When 8 seconds of planning pass
+    Then a task waits for placement
+
   Scenario: A task starts where it ended badly once while all other workers are full
     Given a leader that plans steps on 4 workers of 32 cores
     And workers 1 to 3 are full for 30 seconds
--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -170,6 +170,30 @@
         assert all(p.phase is PlacementPhase.RUNNING for p in worker.placements.values())
 
 
+def suspend_often(context, workers, seconds):
+    now = context.model.clock.now
+    for worker in workers:
+        while worker.suspended_until < now + seconds:
+            worker.suspend(now, SuspensionCause.TASKS_FAILED)
+
+
+@given("each worker is suspended for {seconds:d} seconds after its tasks failed again and again")
+def given_all_suspended(context, seconds):
+    suspend_often(context, list(context.model.fleet), seconds)
+
+
+@given(
+    "worker {number:d} is suspended for {seconds:d} seconds after its tasks failed again and again"
+)
+def given_one_suspended(context, number, seconds):
+    suspend_often(context, [context.model.fleet.get(f"w{number}")], seconds)
+
+
+@then("a task waits for placement")
+def then_task_waits(context):
+    assert any(step.waiting for run in context.model.runs for step in run.steps.values())
+
+
 @given("a task that fails on worker {number:d}")
 def given_failing_task(context, number):
     context.model.submit(
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -22,6 +22,8 @@
 
 START_MARGIN_S = 1.0  # A start order is sent again for up to 0.9 s.
 MIN_SILENCE_S = 0.5  # By which a heartbeat may be late.
+# Of a pool, for suspensions to be taken as a sign of unsound workers.
+MAX_SUSPECT_FRACTION = 0.5
 
 logger = get_logger(__name__)
 
@@ -118,6 +120,26 @@
         if silent < max(1, MAX_SUSPENDED_FRACTION * len(self)):
             worker.suspend_as_silent(now)
 
+    def list_usable(self, pool: str, *, now: float) -> dict[str, FleetWorker]:
+        """Return the workers of a pool on which tasks may be started, by id.
+
+        Where most of them are suspended, failures say nothing on single workers, and tasks would
+        wait for long. Then no suspension counts for longer than the shortest one.
+        """
+        usable: dict[str, FleetWorker] = {}
+        suspended: list[FleetWorker] = []
+        for worker in self:
+            if worker.message.pool != pool:
+                continue
+            reason = worker.find_unusable_reason(now)
+            if not reason:
+                usable[worker.id] = worker
+            elif reason in ("suspended", "on probation"):
+                suspended.append(worker)
+        if len(suspended) > MAX_SUSPECT_FRACTION * (len(suspended) + len(usable)):
+            usable.update((w.id, w) for w in suspended if w.may_be_tried_again(now))
+        return usable
+
     def remove(self, worker_id: str) -> None:
         """Remove a worker."""
         self._workers.pop(worker_id, None)
--- a/src/dewspindle/_internal/jobs/fleet_worker.py
+++ b/src/dewspindle/_internal/jobs/fleet_worker.py
@@ -75,6 +75,7 @@
     is_inherited: bool = False  # It was recorded before this term.
     # Its task lists were read since it was added, or its lease has expired since then.
     is_reconciled: bool = False
+    suspended_at: float = float("-inf")
     suspended_until: float = float("-inf")
     suspension_cause: SuspensionCause | None = None  # Of the last suspension.
     consecutive_suspensions: int = 0
@@ -134,10 +135,10 @@
             return "unreachable"
         if not self.is_reconciled or self.unknown_count:
             return "unaccounted"
-        if self.is_suspended(now):
-            return "suspended"
         if now - self.capacity_known_at >= self.heartbeat_timeout_s:
             return "silent"
+        if self.is_suspended(now):
+            return "suspended"
         # After a suspension, one task must succeed on the worker before others are placed there.
         is_tried = now < self.suspended_until + MAX_PROBATION_S
         if self.consecutive_suspensions and self.placements and is_tried:
@@ -152,6 +153,11 @@
         """Return whether the worker is suspended."""
         return now < self.suspended_until
 
+    def may_be_tried_again(self, now: float) -> bool:
+        """Return whether the worker was not suspended for failures within the shortest time."""
+        is_silent = self.suspension_cause is SuspensionCause.ORDERS_UNANSWERED
+        return not is_silent and now >= self.suspended_at + SUSPENSION_BASE_S
+
     def add(self, placement: Placement) -> None:
         """Reserve capacity for a placement."""
         self.placements[placement.attempt_key] = placement
@@ -254,6 +260,7 @@
         self._suspend_until(now + suspension_s, cause, now)
 
     def _suspend_until(self, ends_at: float, cause: SuspensionCause, now: float) -> None:
+        self.suspended_at = now
         self.suspended_until = ends_at
         self.suspension_cause = cause
         logger.warning(
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -109,12 +109,7 @@
         """Return the usable workers of a pool by id."""
         usable = self._pools.get(pool)
         if usable is None:
-            usable = {
-                worker.id: worker
-                for worker in self._fleet
-                if worker.message.pool == pool and worker.is_usable(self.now)
-            }
-            self._pools[pool] = usable
+            usable = self._pools[pool] = self._fleet.list_usable(pool, now=self.now)
         return usable
 
     def get_largest_capacity(self, pool: str) -> Amounts:
