Pause after a planning round for the time that it planned, without its starts

Rounds of 80 ms, most of them spent on ordering starts, were followed by 240 ms without planning, in which tokens for starts were lost. Starts are limited by their number a second; the pause guards against planning.

--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -38,7 +38,8 @@
 REJECTED_RETRY_DELAY_S = 0.1  # Before a retry after a worker rejected the start.
 HAND_OVER_RETRY_DELAY_S = 5.0  # Between two attempts to transfer the leadership.
 PLAN_INTERVAL_S = 0.01  # Minimum time between two rounds, so that one round handles many events.
-# Pause after a round as a multiple of its duration, so that planning does not delay answers.
+# Pause after a round as a multiple of the time that it planned, so that planning does not delay
+# answers. What starts take is limited by their number a second.
 PLAN_PAUSE_FACTOR = 3.0
 PACED_INTERVAL_S = 0.05  # The same while starts are limited, as the next ones may be due.
 IDLE_INTERVAL_S = 0.25  # Maximum time between two rounds while work waits, as tickets expire.
@@ -308,6 +309,7 @@
         while True:
             event = self._wake.event
             began_at = self._timers.now()
+            planned_s = 0.0
             may_act = self._may_act()
             if may_act:
                 self._check_reconciled()
@@ -317,6 +319,7 @@
                     start_budget=self._pacer.get_budget(now=began_at),
                     starts_per_s=self._pacer.starts_per_s,
                 )
+                planned_s = self._timers.now() - began_at
                 for start in starts:
                     self._start_unit(start)
                 count = sum(len(start.workers) for start in starts)
@@ -324,7 +327,7 @@
                 self._advice.dispatch()
             took_s = self._timers.now() - began_at
             self._load.record_round(took_s, is_lapsed=not may_act)
-            await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s))
+            await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * planned_s))
             is_paced = self._pacer.limit is not None and self._planner.has_waiting
             seconds = PACED_INTERVAL_S if is_paced else IDLE_INTERVAL_S
             await wait_for_event(self._timers, event=event, seconds=seconds)
