Give the turn of the longest wait to steps in their turn, and to requests otherwise

While the fleet is full, one call in four went to the step that had waited longest, again and again, although it ranks last and its tickets end before it starts. Only a step that may go first now counts from its own wait; any other request from when it was made.

--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -143,10 +143,10 @@
     rank: tuple[float, ...]
     purpose: AdvicePurpose = AdvicePurpose.TASKS
     asked_at: float = 0.0
-    waiting_since: float | None = None  # When its step became ready; from the request on if None.
+    waiting_since: float | None = None  # Since when its step is stalled, if it has a turn.
 
     def get_waiting_since(self) -> float:
-        """Return since when the step waits, as far as it is known."""
+        """Return since when the request or, in its turn, its step waits."""
         return self.asked_at if self.waiting_since is None else self.waiting_since
 
     @property
@@ -288,7 +288,7 @@
             self._group.start_soon(self._call_helper, helper.address, request)
 
     def _choose_next(self, ranked: list[AdviceRequest], now: float) -> AdviceRequest:
-        """Return the request of highest rank or, in its turn, that of the step waiting longest.
+        """Return the request of highest rank or, now and then, the one that has waited longest.
 
         Otherwise a request would wait as long as enough others of higher rank are made.
         """
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -229,6 +229,7 @@
     ) -> None:
         if not workers:
             return
+        is_in_turn = step.key in round_.in_turn
         request = AdviceRequest(
             key=step.key,
             queue=queue.name,
@@ -236,7 +237,7 @@
             expected_s=estimate_call_s(queue.advisor, len(workers)),
             rank=rank,
             purpose=purpose,
-            waiting_since=self._turns.get_stalled_since(step.key),
+            waiting_since=self._turns.get_stalled_since(step.key) if is_in_turn else None,
         )
         round_.long_request_count += request.is_long
         self._client.get(step.key).was_asked = True
