Look only at workers that may have room when a step asks for advice

Workers are kept in order of the processors that are expected to be free, once a round, so that a step passes over full ones.

--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -58,29 +58,23 @@
         horizon_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
         if horizon_s <= LONG_CALL_S:
             horizon_s = 0.0  # A short call is answered before anything changes.
-        usable = round_.get_usable(queue.pool)
-        listed: Iterable[FleetWorker] = usable.values()
-        if advice.is_pending:
-            listed = [usable[worker] for worker in advice.pending if worker in usable]
-        fits = {
-            worker.id: count
-            for worker in listed
-            # Only a short call lists workers without capacity. Checked first, as most are full.
-            if (count := count_expected_room(step, round_, worker, within_s=horizon_s))
-            or not horizon_s
-            if not advice.is_refused(worker.id, round_.now)
-            and not advice.has_ticket(worker.id, round_.now)
-            and step.accepts(worker.message.labels)
-            and round_.may_use(worker.id, step)
-        }
         if advice.is_pending:
+            usable = round_.get_usable(queue.pool)
+            pending = (usable[worker] for worker in advice.pending if worker in usable)
+            fits = self._count_room(step, advice, round_, pending, within_s=horizon_s)
             round_.earmark(step, queue.pool, count=min(sum(fits.values()), len(step.waiting)))
             return
+        roomy = round_.iterate_roomy(queue.pool, step.amounts, within_s=horizon_s)
+        fits = self._count_room(step, advice, round_, roomy, within_s=horizon_s)
+        may_include_full = not horizon_s and not advice.list_valid(round_.now)
+        if not fits and may_include_full:
+            everyone = round_.get_usable(queue.pool).values()
+            fits = self._count_room(step, advice, round_, everyone, within_s=horizon_s)
         workers = choose_advice_candidates(
             fits,
             approved_before=advice.tickets.keys(),
             needed=len(step.waiting),
-            may_include_full=not horizon_s and not advice.list_valid(round_.now),
+            may_include_full=may_include_full,
             decision_ms=queue.advisor.decision_ms,
             per_worker_ms=queue.advisor.per_worker_ms,
         )
@@ -88,6 +82,25 @@
         round_.earmark(step, queue.pool, count=min(room, len(step.waiting)))
         self._send(step, queue, round_, workers, AdvicePurpose.TASKS, rank=rank)
 
+    @staticmethod
+    def _count_room(
+        step: StepRun,
+        advice: StepAdvice,
+        round_: PlanningRound,
+        workers: Iterable[FleetWorker],
+        *,
+        within_s: float,
+    ) -> dict[str, int]:
+        """Return how many tasks fit on each worker that a request may list."""
+        return {
+            worker.id: count_expected_room(step, round_, worker, within_s=within_s)
+            for worker in workers
+            if not advice.is_refused(worker.id, round_.now)
+            and not advice.has_ticket(worker.id, round_.now)
+            and step.accepts(worker.message.labels)
+            and round_.may_use(worker.id, step)
+        }
+
     def _may_call(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> bool:
         """Return whether a request for a step takes no helper that others need more."""
         call_s = estimate_call_s(queue.advisor, count_listed(queue.advisor))
@@ -132,8 +145,14 @@
             approved=len(approved),
             odds=odds,
         )
+        limit = step.message.max_per_worker or step.message.count
         workers = choose_gang_candidates(
-            {worker.id: count_gang_room(step, round_, [worker]) for worker in undecided},
+            {
+                worker.id: min(limit, count_fitting(step.amounts, round_.get_free(worker)))
+                if round_.may_use(worker.id, step)
+                else 0
+                for worker in undecided
+            },
             choice=choice,
             size=step.message.count,
             expected=count_gang_room(step, round_, approved),
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -89,6 +89,8 @@
         self._spare_pools: dict[str, bool] = {}
         self._largest: dict[str, Amounts] = {}
         self._outlooks: dict[str, list[Release]] = {}
+        # Usable workers by pool and time from now, those with most processors expected first.
+        self._by_room: dict[tuple[str, float], list[tuple[int, FleetWorker]]] = {}
         # Capacity expected to be free, by time from now and worker.
         self._expected: dict[float, dict[str, Amounts]] = defaultdict(dict)
         self._set_aside: dict[str, tuple[StepRun, float]] = {}  # With the time of the gang's start.
@@ -237,6 +239,24 @@
             self._expected[within_s][worker.id] = expected
         return expected
 
+    def iterate_roomy(
+        self, pool: str, amounts: Amounts, *, within_s: float
+    ) -> Iterator[FleetWorker]:
+        """Yield the usable workers on which a task may fit now or within a time."""
+        ordered = self._by_room.get((pool, within_s))
+        if ordered is None:
+            ordered = [
+                (self.get_expected_free(worker, within_s=within_s).processors, worker)
+                for worker in self.get_usable(pool).values()
+            ]
+            ordered.sort(key=lambda item: -item[0])
+            self._by_room[pool, within_s] = ordered
+        for processors, worker in ordered:
+            if processors < amounts.processors:
+                return
+            if amounts.fits_in(self.get_expected_free(worker, within_s=within_s)):
+                yield worker
+
     def earmark(self, step: StepRun, pool: str, *, count: int) -> None:
         """Count once the capacity for the tasks of a step that a request for advice may bring."""
         if step.key not in self._earmarking_steps:
