Give turns only to steps that they can help, and keep a cap reserved until its step starts

- Turns go to steps that may go first: their pool has room or their tasks last, and no retry delay is on.
- The expected ends of a team's tasks are listed once a round.
- Probation lasts while a task placed less than 3 s ago runs.
An incomplete answer delays the next request.
- A round looks at 32 steps in rank order and 12 in rotation.

--- a/features/start_bound.feature
+++ b/features/start_bound.feature
@@ -91,3 +91,45 @@
       | 2    |
       | 3    |
       | 4    |
+
+  Scenario: A gang starts although its team's cap is filled by a backlog of long small tasks
+    Given a leader that plans steps on 60 workers of 32 cores
+    And a team "small" with a cap of 392 cores
+    And 20 tasks of 2 cores of team "small" a second run for 12 seconds each from second 0 to 40
+    And a gang of 27 tasks of 7 cores of team "small" that becomes ready at second 20
+    When 34 seconds of planning pass
+    Then the gang starts within 12 seconds
+
+  Scenario Outline: A stalled step starts beside <count> stalled steps of a full pool
+    Given a leader that plans steps on 60 workers of 32 cores
+    And an event loop that takes 0.1 ms for a step in a round and carries 60 starts a second
+    And 4 workers of 32 cores in another pool
+    And workers 60 to 63 are full for 60 seconds
+    And <count> tasks of 2 cores wait in the other pool
+    And 70 urgent tasks a second that need no advice arrive from second 0 to 10
+    And an overdue job of 4 tasks of 2 cores that asks a slow advisor and becomes ready at second 4
+    When 10 seconds of planning pass
+    Then the overdue job starts within 3 seconds
+
+    Examples:
+      | count |
+      | 40    |
+      | 200   |
+
+  Scenario: All tasks of a stalled step start in one turn
+    Given a leader that plans steps on 60 workers of 32 cores
+    And an event loop that takes 0.1 ms for a step in a round and carries 60 starts a second
+    And 70 urgent tasks a second that need no advice arrive from second 0 to 8
+    And an overdue job of 30 tasks of 2 cores that asks a slow advisor and becomes ready at second 2
+    When 8 seconds of planning pass
+    Then all tasks of the overdue job start within 3 seconds
+
+  Scenario: A stalled step starts beside 200 stalled steps that no free worker may run
+    Given a leader that plans steps on 60 workers of 32 cores
+    And an event loop that takes 0.1 ms for a step in a round and carries 60 starts a second
+    And worker 0 is full for 60 seconds
+    And 200 urgent tasks for worker 0
+    And 70 urgent tasks a second that need no advice arrive from second 0 to 10
+    And an overdue job of 4 tasks of 2 cores that asks a slow advisor and becomes ready at second 4
+    When 10 seconds of planning pass
+    Then the overdue job starts within 3 seconds
--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -105,12 +105,24 @@
 
 @then("the overdue job starts within {seconds:d} seconds")
 def then_overdue_job_started(context, seconds):
-    waits = [
+    waits = list_waits(context, context.overdue_job)
+    assert waits and min(waits) <= seconds, waits
+
+
+@then("all tasks of the overdue job start within {seconds:d} seconds")
+def then_all_started(context, seconds):
+    waits = list_waits(context, context.overdue_job)
+    assert len(waits) == context.overdue_job.steps[0, 0].message.count, len(waits)
+    assert max(waits) <= seconds, waits
+
+
+def list_waits(context, run):
+    """Return after how many seconds each task or gang of a job started."""
+    return [
         started_at - context.submitted_at
         for started_at, job in context.model.started
-        if job == context.overdue_job.stored.id
+        if job == run.stored.id
     ]
-    assert waits and min(waits) <= seconds, waits
 
 
 @given('a team "{team}" with a cap of {cores:d} cores')
@@ -140,9 +152,8 @@
     "second {second:d}"
 )
 def given_gang_of_team(context, count, cores, team, second):
-    context.model.after(
-        second,
-        lambda: submit_tasks(
+    def submit():
+        context.gang = submit_tasks(
             context,
             count=count,
             cores=cores,
@@ -150,8 +161,34 @@
             run_s=2.0,
             gang=True,
             team=team,
-        ),
-    )
+        )
+
+    context.submitted_at = second
+    context.model.after(second, submit)
+
+
+@then("the gang starts within {seconds:d} seconds")
+def then_gang_started(context, seconds):
+    waits = list_waits(context, context.gang)
+    assert waits and min(waits) <= seconds, waits
+
+
+@given("{count:d} tasks of {cores:d} cores wait in the other pool")
+def given_other_tasks(context, count, cores):
+    for _ in range(count):
+        submit_tasks(context, count=1, cores=cores, queue=("none", 0, "other"), run_s=2.0)
+
+
+@given("{count:d} urgent tasks for worker {number:d}")
+def given_tasks_for_worker(context, count, number):
+    for _ in range(count):
+        context.model.submit(
+            count=1,
+            amounts=Amounts(processors=2000, memory_mb=2048),
+            behavior=Behavior(run_s=2.0, approved=frozenset({f"w{number}"})),
+            gang=False,
+            queue=("fast", 0, "pool"),
+        )
 
 
 @given("the advisor's answers are incomplete until second {second:d}")
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -368,6 +368,8 @@
             advice.failures += 1
             return
         advice.failures = 0
+        if answer.incomplete:
+            advice.retry_at = now + RETRY_DELAY_S
         approved = {approval.worker: approval.ticket for approval in answer.approvals}
         first = [worker for worker in request.workers if worker not in advice.tickets]
         self._odds.record(
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -248,7 +248,7 @@
     ) -> None:
         if not workers:
             return
-        is_in_turn = step.key in round_.in_turn
+        is_in_turn = step.key in round_.in_turn and purpose is not AdvicePurpose.RENEWAL
         request = AdviceRequest(
             key=step.key,
             queue=queue.name,
--- a/src/dewspindle/_internal/jobs/fleet_worker.py
+++ b/src/dewspindle/_internal/jobs/fleet_worker.py
@@ -18,8 +18,8 @@
 SUSPENSION_BASE_S = 2.0  # First suspension, after failed or stuck tasks or a rejected start.
 SUSPENSION_MAX_S = 16.0
 UNANSWERED_SUSPENSION_S = 1.0
-# Longest time on probation. Tasks that last have no end that shows that the worker is sound; tasks
-# that stand still are noticed sooner than this.
+# Longest time of a task on probation. Tasks that last have no end that shows that the worker is
+# sound; tasks that stand still are noticed sooner than this.
 MAX_PROBATION_S = 3.0
 # A worker that answers again after unanswered calls is a sign that orders are delayed. Other
 # unanswered orders may then still arrive for as long as an order can take, `MAX_ORDER_DELAY_S`.
@@ -139,9 +139,11 @@
             return "silent"
         if self.is_suspended(now):
             return "suspended"
-        # After a suspension, one task must succeed on the worker before others are placed there.
-        is_tried = now < self.suspended_until + MAX_PROBATION_S
-        if self.consecutive_suspensions and self.placements and is_tried:
+        # After a suspension, one task must succeed on the worker before others are placed there, or
+        # run for so long.
+        if self.consecutive_suspensions and any(
+            now - placement.placed_at < MAX_PROBATION_S for placement in self.placements.values()
+        ):
             return "on probation"
         return ""
 
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -170,11 +170,10 @@
         order = self._orderer.choose(
             ready,
             advised=self._advice.take_advised(),
-            may_go_first=lambda step: self._has_spare_capacity(step, round_),
+            may_go_first=lambda step: self._may_go_first(step, round_),
             now=now,
         )
         silent = [] if workers_reconciled else self._list_silent()
-        round_.stalled = frozenset(self._orderer.turns.list_turns())
         self._place_in_turn(order.in_turn, round_, silent=silent)
         self._place_steps(order.ranked, round_, silent=silent)
         self._relocator.relocate(round_)
@@ -185,8 +184,12 @@
         self._teams.finish_round(self._waiting.values(), round_, latest_due_ms=wall_ms + early_ms)
         return round_.starts
 
-    def _has_spare_capacity(self, step: StepRun, round_: PlanningRound) -> bool:
-        return round_.has_spare_capacity(self._store.get_current_queue(step.run.stored).pool)
+    def _may_go_first(self, step: StepRun, round_: PlanningRound) -> bool:
+        """Return whether a stalled step may come before those of higher rank."""
+        if all(unit.not_before > round_.now for unit in step.waiting.values()):
+            return False
+        pool = self._store.get_current_queue(step.run.stored).pool
+        return step.message.long_running or round_.has_spare_capacity(pool)
 
     def _place_in_turn(
         self, steps: list[StepRun], round_: PlanningRound, *, silent: list[SilentWorker]
@@ -197,6 +200,14 @@
         round_.start_budget -= kept
         self._place_steps(steps, round_, silent=silent)
         round_.start_budget += kept
+        for step in steps:
+            if round_.has_reserved_cap(step):
+                self._orderer.turns.hold(step.key)
+            elif not (round_.is_deferred(step) or self._advice.get(step.key).is_pending):
+                self._orderer.turns.release_idle(step.key, now=round_.now)
+
+    def _has_stalled(self, step: StepRun, round_: PlanningRound) -> bool:
+        return self._orderer.turns.has_stalled(step.key, now=round_.now)
 
     def _place_steps(
         self, steps: list[StepRun], round_: PlanningRound, *, silent: list[SilentWorker]
@@ -324,6 +335,7 @@
                 round_.defer(step)
                 chosen = None
             if chosen is None:
+                round_.keep_cap(step, step.amounts * unit.unit.size)
                 self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
             positions = iter(unit.unit.positions)
@@ -427,7 +439,7 @@
             if not round_.check_cap(step, step.amounts):
                 return
             worker = queued.take(avoided=[w for w in candidates if w.id in unit.avoided])
-            if worker is None and unit.avoided and step.key in round_.stalled:
+            if worker is None and unit.avoided and self._has_stalled(step, round_):
                 worker = queued.take()
             if worker is None:
                 self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
@@ -445,5 +457,5 @@
             assert worker is not None
             round_.allocate(worker, step.amounts, team=step.run.stored.team)
         self.remove_unit(unit)
-        self._orderer.turns.record_start(step.key)
+        self._orderer.turns.record_start(step.key, now=round_.now)
         round_.starts.append(PlannedStart(unit=unit, workers=workers, tickets=tickets))
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -73,8 +73,7 @@
         self.now = now
         self.start_budget = start_budget  # Tasks that may still be started in this round.
         self._starts_ahead = starts_per_s * ASK_AHEAD_S  # For which advice may be sought now.
-        self.stalled: frozenset[StepKey] = frozenset()  # Steps that have waited long.
-        self.in_turn: frozenset[StepKey] = frozenset()  # Those of them that go first.
+        self.in_turn: frozenset[StepKey] = frozenset()  # Stalled steps that go first.
         self.team_caps = team_caps
         self.capped_teams: set[str] = set()  # Teams whose work waits for their cap.
         self.starts: list[PlannedStart] = []
@@ -101,6 +100,7 @@
         self._set_aside_early: Counter[str] = Counter()
         self._early_gang_count = 0
         self._cap_ready_at: dict[StepKey, float] = {}  # For steps with room reserved below a cap.
+        self._team_releases: dict[str, list[Release]] = {}  # In order of time.
 
     @property
     def early_gang_count(self) -> int:
@@ -160,13 +160,30 @@
             return True
         self.capped_teams.add(team)
         self.hold_back(step, WaitReason.TEAM_CAP)
-        if step.key in self.in_turn:
-            releases = self._list_team_releases(team)
-            self._cap_ready_at[step.key] = self.team_caps.reserve(team, amounts, releases=releases)
+        self.keep_cap(step, amounts)
         return False
 
+    def keep_cap(self, step: StepRun, amounts: Amounts) -> None:
+        """Reserve room below the cap of its team for a step that has its turn."""
+        if step.key not in self.in_turn or step.key in self._cap_ready_at:
+            return
+        team = step.run.stored.team
+        if not self.team_caps.may_reserve(team):
+            return
+        if team not in self._team_releases:
+            self._team_releases[team] = sorted(self._list_team_releases(team), key=lambda r: r.at)
+        ready_at = self.team_caps.reserve(
+            team, amounts, now=self.now, releases=self._team_releases[team]
+        )
+        if ready_at < math.inf:
+            self._cap_ready_at[step.key] = ready_at
+
+    def has_reserved_cap(self, step: StepRun) -> bool:
+        """Return whether room below a cap is reserved for a step."""
+        return step.key in self._cap_ready_at
+
     def is_cap_ready_soon(self, step: StepRun) -> bool:
-        """Return whether room below a cap is reserved for a step, and expected soon."""
+        """Return whether room below a cap that is reserved for a step is expected soon."""
         return self._cap_ready_at.get(step.key, math.inf) <= self.now + ASK_AHEAD_S
 
     def _list_team_releases(self, team: str) -> Iterator[Release]:
@@ -183,6 +200,10 @@
         """Return why no workers were looked for, or None if they were or the step is new."""
         return self._held_back.get(step.key)
 
+    def is_deferred(self, step: StepRun) -> bool:
+        """Return whether a step waits for the budget of a later round."""
+        return self._held_back.get(step.key) is WaitReason.START_BUDGET
+
     def defer(self, step: StepRun) -> None:
         """Record that a step that may start waits for the budget of a later round."""
         self.hold_back(step, WaitReason.START_BUDGET)
--- a/src/dewspindle/_internal/jobs/round_order.py
+++ b/src/dewspindle/_internal/jobs/round_order.py
@@ -12,8 +12,8 @@
 from .advice import StepKey
 from .runs import StepRun
 
-MAX_RANKED = 48  # Steps of highest rank, which each round looks at.
-MAX_ROTATED = 24  # Of the others, those that were looked at longest ago.
+MAX_RANKED = 32  # Steps of highest rank, which each round looks at.
+MAX_ROTATED = 12  # Of the others, those that were looked at longest ago.
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,9 +53,9 @@
         """
         self._rounds += 1
         by_key = {step.key: step for step in ready}
-        self._turns.update(by_key, now=now)
-        stalled = [by_key[key] for key in self._turns.list_turns()]
-        in_turn = {step.key: step for step in stalled if may_go_first(step)}
+        eligible = {step.key for step in ready if may_go_first(step)}
+        self._turns.update(by_key, eligible=eligible, now=now)
+        in_turn = {key: by_key[key] for key in self._turns.list_turns()}
         chosen = {step.key for step in ready[:MAX_RANKED]}
         chosen.update(key for key in advised if key in by_key)
         chosen.update(in_turn)
--- a/src/dewspindle/_internal/scheduling/start_pacing.py
+++ b/src/dewspindle/_internal/scheduling/start_pacing.py
@@ -20,6 +20,7 @@
 RELAXED_LAG_S = 0.01
 DECREASE = 0.85  # Of the limit at each check while too much lag lasts.
 INCREASE = 1.06  # Slower, so that the rate stays just below the one that delays everything.
+SLOW_INCREASE = 1.01  # With a lag that is neither too long nor short.
 MIN_STARTS_PER_S = 50.0  # Below it, lag has another cause than starts.
 BINDING_FRACTION = 0.8  # Of the limit. With fewer starts, lag has another cause.
 RATE_WINDOW_S = 1.0
@@ -56,8 +57,8 @@
         self._lags.append(lag_s)
         if self._is_lag_lasting():
             self._cut(rate)
-        elif lag_s < RELAXED_LAG_S and self._limit is not None:
-            self._limit *= INCREASE
+        elif lag_s < MAX_LAG_S and self._limit is not None:
+            self._limit *= INCREASE if lag_s < RELAXED_LAG_S else SLOW_INCREASE
             if self._limit > SLACK * max(rate, MIN_STARTS_PER_S):
                 self._limit = None
 
--- a/src/dewspindle/_internal/scheduling/team_caps.py
+++ b/src/dewspindle/_internal/scheduling/team_caps.py
@@ -112,21 +112,29 @@
             needed += reservation.amounts
         return needed.fits_in(self.get_room(team))
 
-    def reserve(self, team: str, amounts: Amounts, *, releases: Iterable[Release]) -> float:
-        """Keep room for work of a team that does not fit yet; return when it is expected to.
+    def may_reserve(self, team: str) -> bool:
+        """Return whether the team has a cap below which nothing is reserved in this round."""
+        return team in self._teams and team not in self._reservations
 
-        `releases` are the expected ends of the team's tasks. Only one piece of work of a team has a
-        reservation in a round; infinity is returned for any other, and for what never fits.
+    def reserve(
+        self, team: str, amounts: Amounts, *, now: float, releases: Iterable[Release]
+    ) -> float:
+        """Keep room for one piece of work of a team; return when it is expected to fit.
+
+        `releases` are the expected ends of the team's tasks, in order of time. Returns infinity for
+        what never fits.
         """
-        if team in self._reservations:
-            return math.inf
         room, needed = self.get_room(team), self.get_planned(team) + amounts
-        for release in sorted(releases, key=lambda r: r.at):
-            room += release.amounts
+        ready_at = now
+        for release in releases:
             if needed.fits_in(room):
-                self._reservations[team] = CapReservation(amounts, release.at)
-                return release.at
-        return math.inf
+                break
+            room += release.amounts
+            ready_at = release.at
+        if not needed.fits_in(room):
+            return math.inf
+        self._reservations[team] = CapReservation(amounts, ready_at)
+        return ready_at
 
     def allocate(self, team: str, amounts: Amounts) -> None:
         """Count a start that this round has planned."""
