Start at most 64 tasks in one planning round while starts are paced

The rest of a round's starts follows in the next round, 0.05 s later at most. The scenario fails without the bound.

--- a/features/start_pacing.feature
+++ b/features/start_pacing.feature
@@ -49,3 +49,8 @@
     Given a limit of 100 starts a second
     When a gang of 30 tasks starts
     Then a task may start in one round after 0.4 seconds
+
+  Scenario: One round does not start all that waits
+    Given a loop that carries 400 starts a second
+    When 300 tasks are ready
+    Then one round starts at most 64 of them
--- a/features/steps/start_pacing_steps.py
+++ b/features/steps/start_pacing_steps.py
@@ -72,6 +72,16 @@
     context.loop.run(ready_per_s=rate, seconds=seconds, stall_s=stall)
 
 
+@when("{count:d} tasks are ready")
+def when_ready_at_once(context, count):
+    context.loop.run(ready_per_s=count / TICK_S, seconds=TICK_S)
+
+
+@then("one round starts at most {most:d} of them")
+def then_few(context, most):
+    assert 0 < context.loop.started[0][1] <= most, context.loop.started
+
+
 @when("the loop stalls for {seconds:g} seconds")
 def when_stalled(context, seconds):
     context.loop.stall(seconds)
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -1,5 +1,6 @@
 """The leader's job dispatcher: manages worker sessions and open jobs, and sends orders."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -41,7 +42,7 @@
 # Pause after a round as a multiple of the time that it planned, so that planning does not delay
 # answers. What starts take is limited by their number a second.
 PLAN_PAUSE_FACTOR = 3.0
-PACED_INTERVAL_S = 0.05  # The same while starts are limited, as the next ones may be due.
+PACED_INTERVAL_S = 0.05  # The same after a round that has used up its budget of starts.
 IDLE_INTERVAL_S = 0.25  # Maximum time between two rounds while work waits, as tickets expire.
 EXPIRE_INTERVAL_S = 10.0
 
@@ -298,6 +299,9 @@
     def _record_lag(self, lag_s: float) -> None:
         self._pacer.record_lag(lag_s, now=self._timers.now())
 
+    def _get_start_budget(self, *, now: float) -> float:
+        return self._pacer.get_budget(now=now) if self._limits.paces_starts else math.inf
+
     def _measure_load(self) -> dict[str, Any]:
         return {
             **self._planner.measure_load(),
@@ -310,13 +314,15 @@
             event = self._wake.event
             began_at = self._timers.now()
             planned_s = 0.0
+            is_out_of_budget = False
             may_act = self._may_act()
             if may_act:
                 self._check_reconciled()
+                start_budget = self._get_start_budget(now=began_at)
                 starts = self._planner.plan(
                     workers_reconciled=self._workers_reconciled,
                     early_ms=self._limits.early_ms,
-                    start_budget=self._pacer.get_budget(now=began_at),
+                    start_budget=start_budget,
                     starts_per_s=self._pacer.starts_per_s,
                 )
                 planned_s = self._timers.now() - began_at
@@ -324,12 +330,12 @@
                     self._start_unit(start)
                 count = sum(len(start.workers) for start in starts)
                 self._pacer.record_starts(count, now=began_at)
+                is_out_of_budget = count >= start_budget
                 self._advice.dispatch()
             took_s = self._timers.now() - began_at
             self._load.record_round(took_s, is_lapsed=not may_act)
             await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * planned_s))
-            is_paced = self._pacer.limit is not None and self._planner.has_waiting
-            seconds = PACED_INTERVAL_S if is_paced else IDLE_INTERVAL_S
+            seconds = PACED_INTERVAL_S if is_out_of_budget else IDLE_INTERVAL_S
             await wait_for_event(self._timers, event=event, seconds=seconds)
 
     def _check_reconciled(self) -> None:
--- a/src/dewspindle/_internal/scheduling/start_pacing.py
+++ b/src/dewspindle/_internal/scheduling/start_pacing.py
@@ -22,6 +22,8 @@
 INCREASE = 1.06  # Slower, so that the rate stays just below the one that delays everything.
 SLOW_INCREASE = 1.01  # With a lag that is neither too long nor short.
 MIN_STARTS_PER_S = 50.0  # Below it, lag has another cause than starts.
+# Also without a limit. The loop does nothing else until all starts of a round are ordered.
+MAX_STARTS_PER_ROUND = 64.0
 BINDING_FRACTION = 0.8  # Of the limit. With fewer starts, lag has another cause.
 RATE_WINDOW_S = 1.0
 SHORT_RATE_WINDOW_S = 0.3  # Tells sooner that more tasks start than before.
@@ -98,17 +100,17 @@
             self._tokens -= count
 
     def get_budget(self, *, now: float) -> float:
-        """Return how many tasks a planning round may start, infinity without a limit.
+        """Return how many tasks a planning round may start.
 
         A gang is started whole while any budget is left; the excess is taken from later rounds.
         """
         elapsed_s, self._refilled_at = now - self._refilled_at, now
         if self._limit is None:
             self._tokens = 0.0
-            return float("inf")
+            return MAX_STARTS_PER_ROUND
         most = self._limit * LAG_CHECK_INTERVAL_S
         self._tokens = min(most, self._tokens + self._limit * elapsed_s)
-        return max(0.0, self._tokens)
+        return min(MAX_STARTS_PER_ROUND, max(0.0, self._tokens))
 
     def _measure_rate(self, now: float) -> float:
         while self._starts and self._starts[0][0] < now - RATE_WINDOW_S:
