--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -6,7 +6,7 @@
 
 from ..cell.jobs import JobStore
 from ..scheduling.gang_workers import GangWorkers
-from ..scheduling.inherited_work import SilentWorker, list_possible_workers
+from ..scheduling.inherited_work import SilentWorker
 from ..scheduling.job_order import compute_rank
 from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
 from ..scheduling.slowdowns import Slowdowns
@@ -18,7 +18,8 @@
 from .early_gangs import find_early_workers
 from .fleet import Fleet
 from .fleet_worker import FleetWorker
-from .planner_load import PlannerLoad, StepWorkers
+from .inherited_steps import InheritedSteps
+from .planner_load import PlannerLoad
 from .planning_round import PlannedStart, PlanningRound
 from .relocation import StartRelocator
 from .round_order import RoundOrderer
@@ -26,6 +27,7 @@
 from .suspect_placement import choose_for_suspect, has_suspect
 from .team_work import TeamWork
 from .wait_reasons import WaitReason
+from .worker_selector import WorkerSelector
 
 # Added to the score of a worker set aside, so that tasks of higher rank use others while they can.
 SET_ASIDE_PENALTY = 1.0
@@ -52,16 +54,20 @@
         self._waiting: dict[StepKey, StepRun] = {}
         self._orderer = RoundOrderer()
         self._advice_planner = AdvicePlanner(advice, turns=self._orderer.turns)
+        self._inherited = InheritedSteps(
+            fleet=fleet, advice=advice, advice_planner=self._advice_planner
+        )
         self._set_aside_before: frozenset[str] = frozenset()  # For gangs, in the last round.
         self._teams = TeamWork(fleet=fleet, store=store)
         self._last_round = PlanningRound(fleet, now=timers.now(), team_caps=self._teams.caps)
         self._load = PlannerLoad(fleet=fleet, advice=advice, timers=timers)
         self._slowdowns = slowdowns or Slowdowns(timers=timers, is_enabled=False)
+        self._workers = WorkerSelector(advice=advice, store=store)
         self._relocator = StartRelocator(
             self._slowdowns,
             fleet=fleet,
             advice=advice,
-            list_candidates=self._list_candidates,
+            list_candidates=self._workers.list_candidates,
             get_penalty=self._get_penalty,
         )
 
@@ -111,7 +117,12 @@
     def measure_load(self) -> dict[str, Any]:
         """Return figures on waiting work and free capacity, as fractions, for the log."""
         ready = self._list_ready(latest_due_ms=self._timers.wall_ms(), now=self._timers.now())
-        figures = self._load.measure(ready, list_workers=self._list_step_workers)
+        figures = self._load.measure(
+            ready,
+            list_workers=lambda step: self._workers.list_step_workers(
+                step, self._last_round, now=self._timers.now()
+            ),
+        )
         return {
             **figures,
             "reserved_workers": len(self._set_aside_before),
@@ -123,21 +134,6 @@
         """Return for how many steps the last round looked for workers."""
         return len(self._last_round.looked_at)
 
-    def _list_step_workers(self, step: StepRun) -> StepWorkers:
-        """Return the workers for a step as the last round left them."""
-        round_ = self._last_round
-        queue = self._store.get_current_queue(step.run.stored)
-        approved = self._list_approved(step, queue, round_)
-        available = [worker for worker in approved if round_.may_use(worker.id, step)]
-        admitted = self._select_admitted(step, queue, available, now=self._timers.now())
-        return StepWorkers(
-            approved,
-            available,
-            admitted,
-            was_advice_asked=not queue.HasField("advisor") or self._advice.get(step.key).was_asked,
-            held_back_by=round_.get_hold_back_reason(step),
-        )
-
     @property
     def has_waiting(self) -> bool:
         """Return whether any step has units that wait for placement."""
@@ -173,7 +169,7 @@
             may_go_first=lambda step: self._may_go_first(step, round_),
             now=now,
         )
-        silent = [] if workers_reconciled else self._list_silent()
+        silent = [] if workers_reconciled else self._inherited.list_silent()
         self._place_in_turn(order.in_turn, round_, silent=silent)
         self._place_steps(order.ranked, round_, silent=silent)
         self._relocator.relocate(round_)
@@ -219,7 +215,13 @@
                 continue
             round_.looked_at.add(step.key)
             queue = self._store.get_current_queue(step.run.stored)
-            if silent and step.may_run_already and self._may_run_on(silent, step, queue, round_):
+            if (
+                silent
+                and step.may_run_already
+                and self._inherited.may_run_on(
+                    silent, step, queue, round_, rank=self._rank(step, round_.now)
+                )
+            ):
                 round_.hold_back(step, WaitReason.MAY_RUN_ALREADY)
                 continue
             if step.message.gang:
@@ -227,35 +229,6 @@
             else:
                 self._place_tasks(step, queue, round_)
 
-    def _list_silent(self) -> list[SilentWorker]:
-        """Return the workers that have not told this leader yet what runs on them."""
-        return [
-            SilentWorker(worker.id, worker.message.labels)
-            for worker in self._fleet
-            if worker.may_hold_inherited_work
-        ]
-
-    def _may_run_on(
-        self,
-        silent: list[SilentWorker],
-        step: StepRun,
-        queue: jobs_pb2.Queue,
-        round_: PlanningRound,
-    ) -> bool:
-        """Return whether tasks of an inherited step may run on a silent worker."""
-        # The step may have started before its queue had an advisor.
-        is_advised = step.run.stored.message.queue.HasField("advisor")
-        workers = list_possible_workers(
-            silent,
-            required_label=step.message.required_label,
-            refused=self._advice.get(step.key).refused if is_advised else (),
-        )
-        if is_advised:
-            self._advice_planner.ask_about_silent(
-                step, queue, round_, workers, rank=self._rank(step, round_.now)
-            )
-        return bool(workers)
-
     def _list_ready(self, *, latest_due_ms: int, now: float) -> list[StepRun]:
         """Return the steps that may start, in rank order."""
         ranked = []
@@ -280,43 +253,12 @@
             standing=self._teams.get_standing(step.run.stored.message),
         )
 
-    def _list_approved(
-        self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound
-    ) -> list[FleetWorker]:
-        """Return the usable workers that may run a step, whether their tickets are valid or not."""
-        usable = round_.get_usable(queue.pool)
-        if not queue.HasField("advisor"):
-            return [worker for worker in usable.values() if step.accepts(worker.message.labels)]
-        tickets = self._advice.get(step.key).tickets
-        return [usable[worker_id] for worker_id in tickets if worker_id in usable]
-
-    def _select_admitted(
-        self,
-        step: StepRun,
-        queue: jobs_pb2.Queue,
-        workers: list[FleetWorker],
-        *,
-        now: float,
-    ) -> list[FleetWorker]:
-        """Return the workers on which a step may start now."""
-        if not queue.HasField("advisor"):
-            return workers
-        advice = self._advice.get(step.key)
-        return [worker for worker in workers if advice.has_ticket(worker.id, now)]
-
-    def _list_candidates(self, step: StepRun, round_: PlanningRound) -> list[FleetWorker]:
-        """Return the workers on which a task of a step may start now."""
-        queue = self._store.get_current_queue(step.run.stored)
-        approved = self._list_approved(step, queue, round_)
-        admitted = self._select_admitted(step, queue, approved, now=round_.now)
-        return [worker for worker in admitted if round_.may_use(worker.id, step)]
-
     def _get_penalty(self, worker: FleetWorker) -> float:
         return SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
 
     def _place_gang(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         rank = self._rank(step, round_.now)
-        approved = self._list_approved(step, queue, round_)
+        approved = self._workers.list_approved(step, queue, round_)
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
                 continue
@@ -325,7 +267,7 @@
                     self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
             available = [w for w in approved if round_.may_use(w.id, step)]
-            admitted = self._select_admitted(step, queue, available, now=round_.now)
+            admitted = self._workers.select_admitted(step, queue, available, now=round_.now)
             chosen = None
             if unit.is_suspect:
                 apart = [worker for worker in admitted if not has_suspect(worker, round_)]
@@ -396,8 +338,8 @@
         if not round_.check_cap(step, step.amounts) and not round_.is_cap_ready_soon(step):
             return
         rank = self._rank(step, round_.now)
-        candidates = self._select_admitted(
-            step, queue, self._list_approved(step, queue, round_), now=round_.now
+        candidates = self._workers.select_admitted(
+            step, queue, self._workers.list_approved(step, queue, round_), now=round_.now
         )
         if not candidates:
             self._advice_planner.ask_for_tasks(step, queue, round_, rank=rank)
