Look in each round at the gangs that workers are set aside for

A round that passed over a gang beyond the first steps in rank order no longer kept its workers, so that steps of lower rank took them.

--- a/features/start_bound.feature
+++ b/features/start_bound.feature
@@ -133,3 +133,12 @@
     And an overdue job of 4 tasks of 2 cores that asks a slow advisor and becomes ready at second 4
     When 10 seconds of planning pass
     Then the overdue job starts within 3 seconds
+
+  Scenario: Workers stay set aside for a gang while 100 steps of higher rank wait
+    Given a leader that plans steps on 20 workers of 32 cores
+    And worker 0 is full for 60 seconds
+    And workers 1 to 19 are full for 6 seconds
+    And 100 urgent tasks for worker 0
+    And a gang of 12 tasks of 10 cores for workers 1 to 19
+    When 3 seconds of planning pass
+    Then workers are set aside in each round of the next 2 seconds
--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -4,7 +4,7 @@
 from dewspindle._internal.jobs.placements import PlacementPhase
 from dewspindle._internal.models.resources import Amounts
 from features.lib.busy_loop import BusyLoop
-from features.lib.waiting_steps import Behavior
+from features.lib.waiting_steps import ROUND_S, Behavior
 
 ARRIVAL_S = 0.1  # Between two arrivals of several tasks.
 
@@ -191,6 +191,15 @@
         )
 
 
+@then("workers are set aside in each round of the next {seconds:d} seconds")
+def then_set_aside(context, seconds):
+    counts = []
+    for _ in range(round(seconds / ROUND_S)):
+        context.run(context.model.run(ROUND_S))
+        counts.append(context.model.planner.measure_load()["reserved_workers"])
+    assert all(counts), counts
+
+
 @given("the advisor's answers are incomplete until second {second:d}")
 def given_incomplete_answers(context, second):
     context.model.answers_are_incomplete = True
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -163,9 +163,11 @@
             starts_per_s=starts_per_s,
         )
         ready = self._list_ready(latest_due_ms=wall_ms + early_ms, now=now)
+        # Gangs that workers are set aside for would lose these if a round passed over them.
+        gangs = {step.key for step, _ in self._last_round.waiting_gangs}
         order = self._orderer.choose(
             ready,
-            advised=self._advice.take_advised(),
+            always=gangs | self._advice.take_advised(),
             may_go_first=lambda step: self._may_go_first(step, round_),
             now=now,
         )
--- a/src/dewspindle/_internal/jobs/round_order.py
+++ b/src/dewspindle/_internal/jobs/round_order.py
@@ -41,15 +41,15 @@
         self,
         ready: Sequence[StepRun],
         *,
-        advised: Collection[StepKey],
+        always: Collection[StepKey],
         may_go_first: Callable[[StepRun], bool],
         now: float,
     ) -> RoundOrder:
         """Return the steps to look at, given all ready ones in rank order.
 
         `may_go_first` tells whether a stalled step may come before those of higher rank.
-        `advised` are those whose requests for advice were answered since the last round, as the
-        tickets that they got do not stay valid for long.
+        `always` are looked at whatever their rank, such as those whose requests for advice were
+        answered since the last round, as the tickets that they got do not stay valid for long.
         """
         self._rounds += 1
         by_key = {step.key: step for step in ready}
@@ -57,7 +57,7 @@
         self._turns.update(by_key, eligible=eligible, now=now)
         in_turn = {key: by_key[key] for key in self._turns.list_turns()}
         chosen = {step.key for step in ready[:MAX_RANKED]}
-        chosen.update(key for key in advised if key in by_key)
+        chosen.update(key for key in always if key in by_key)
         chosen.update(in_turn)
         rest = [step for step in ready if step.key not in chosen]
         last = self._looked_at
