Pause after a round for all its time again, and choose the next request without a sort

A request that ranks last among those that have waited equally long keeps its turn, as waiting_steps.feature checks.

--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -145,6 +145,10 @@
     asked_at: float = 0.0
     waiting_since: float | None = None  # Since when its step is stalled, if it has a turn.
 
+    def get_rank(self) -> tuple[float, ...]:
+        """Return the rank of the step, lower ones first."""
+        return self.rank
+
     def get_waiting_since(self) -> float:
         """Return since when the request or, in its turn, its step waits."""
         return self.asked_at if self.waiting_since is None else self.waiting_since
@@ -264,10 +268,11 @@
         now = self._timers.now()
         self._penalized_until = {h: at for h, at in self._penalized_until.items() if at > now}
         free = {helper for helper in helpers if helper.address not in self._calls_in_flight}
-        candidates = sorted(self._waiting, key=lambda request: request.rank)
+        candidates = list(self._waiting)
         while free and candidates:
-            request = self._choose_next(candidates, now)
-            is_in_turn = request is not candidates[0]
+            first = min(candidates, key=AdviceRequest.get_rank)
+            request = self._choose_next(first, candidates, now)
+            is_in_turn = request is not first
             candidates.remove(request)
             # Of several helpers, one is kept free of long calls.
             if request.is_long and 1 < len(helpers) <= sum(self._calls_in_flight.values()) + 1:
@@ -287,15 +292,18 @@
             self._used_at[helper.address] = now
             self._group.start_soon(self._call_helper, helper.address, request)
 
-    def _choose_next(self, ranked: list[AdviceRequest], now: float) -> AdviceRequest:
+    def _choose_next(
+        self, first: AdviceRequest, candidates: list[AdviceRequest], now: float
+    ) -> AdviceRequest:
         """Return the request of highest rank or, now and then, the one that has waited longest.
 
         Otherwise a request would wait as long as enough others of higher rank are made.
         """
         if self._calls_by_rank < CALLS_PER_OLDEST - 1:
-            return ranked[0]
-        oldest = min(reversed(ranked), key=AdviceRequest.get_waiting_since)
-        return ranked[0] if now - oldest.get_waiting_since() < OLD_REQUEST_S else oldest
+            return first
+        # Of several that have waited equally long, the one that ranks last.
+        oldest = max(candidates, key=lambda request: (-request.get_waiting_since(), request.rank))
+        return first if now - oldest.get_waiting_since() < OLD_REQUEST_S else oldest
 
     def take_load(self) -> dict[str, Any]:
         """Return figures on helpers and requests for the log, those on calls since the last time.
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -39,8 +39,7 @@
 REJECTED_RETRY_DELAY_S = 0.1  # Before a retry after a worker rejected the start.
 HAND_OVER_RETRY_DELAY_S = 5.0  # Between two attempts to transfer the leadership.
 PLAN_INTERVAL_S = 0.01  # Minimum time between two rounds, so that one round handles many events.
-# Pause after a round as a multiple of the time that it planned, so that planning does not delay
-# answers. What starts take is limited by their number a second.
+# Pause after a round as a multiple of its duration, so that planning does not delay answers.
 PLAN_PAUSE_FACTOR = 3.0
 PACED_INTERVAL_S = 0.05  # The same after a round that has used up its budget of starts.
 IDLE_INTERVAL_S = 0.25  # Maximum time between two rounds while work waits, as tickets expire.
@@ -313,7 +312,6 @@
         while True:
             event = self._wake.event
             began_at = self._timers.now()
-            planned_s = 0.0
             is_out_of_budget = False
             may_act = self._may_act()
             if may_act:
@@ -325,7 +323,6 @@
                     start_budget=start_budget,
                     starts_per_s=self._pacer.starts_per_s,
                 )
-                planned_s = self._timers.now() - began_at
                 for start in starts:
                     self._start_unit(start)
                 count = sum(len(start.workers) for start in starts)
@@ -334,7 +331,7 @@
                 self._advice.dispatch()
             took_s = self._timers.now() - began_at
             self._load.record_round(took_s, is_lapsed=not may_act)
-            await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * planned_s))
+            await self._timers.sleep(max(PLAN_INTERVAL_S, PLAN_PAUSE_FACTOR * took_s))
             seconds = PACED_INTERVAL_S if is_out_of_budget else IDLE_INTERVAL_S
             await wait_for_event(self._timers, event=event, seconds=seconds)
 
