--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -41,8 +41,8 @@
 PLAN_INTERVAL_S = 0.01  # Minimum time between two rounds, so that one round handles many events.
 # Pause after a round as a multiple of its duration, so that planning does not delay answers.
 PLAN_PAUSE_FACTOR = 3.0
-PACED_INTERVAL_S = 0.05  # The same after a round that has used up its budget of starts.
 IDLE_INTERVAL_S = 0.25  # Maximum time between two rounds while work waits, as tickets expire.
+PACED_INTERVAL_S = 0.05  # The same after a round that has used up its budget of starts.
 EXPIRE_INTERVAL_S = 10.0
 
 logger = get_logger(__name__)
--- a/src/dewspindle/_internal/jobs/round_order.py
+++ b/src/dewspindle/_internal/jobs/round_order.py
@@ -1,7 +1,7 @@
 """Which waiting steps a planning round looks at, and in which order.
 
 A round that looked at all steps of a long backlog would take as long as the backlog, and delay all
-else that the leader does. So it looks at a bounded number, and at each step within a few rounds.
+else that the leader does. So it looks at a bounded number, and at the others in later rounds.
 """
 
 import heapq
