--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -7,6 +7,8 @@
 from features.lib.waiting_steps import ROUND_S, Behavior
 
 ARRIVAL_S = 0.1  # Between two arrivals of several tasks.
+# Advisor, cores and run time in seconds of urgent tasks.
+URGENT_TASKS = {"need no advice": ("none", 2, 1.0), "ask a fast advisor": ("fast", 1, 0.5)}
 
 
 @given(
@@ -67,21 +69,18 @@
     model.after(second, change)
 
 
-@given(
-    "{per_s:d} urgent tasks a second that need no advice arrive from second {begins:d} to {ends:d}"
-)
-def given_urgent_arrivals(context, per_s, begins, ends):
-    queue = ("none", 0, "pool")
-    arrive(context, per_s=per_s, begins_s=begins, ends_s=ends, cores=2, queue=queue, run_s=1.0)
-
-
-@given(
-    "{per_s:d} urgent tasks a second that ask a fast advisor arrive from second "
-    "{begins:d} to {ends:d}"
-)
-def given_urgent_requests(context, per_s, begins, ends):
-    queue = ("fast", 0, "pool")
-    arrive(context, per_s=per_s, begins_s=begins, ends_s=ends, cores=1, queue=queue, run_s=0.5)
+@given("{per_s:d} urgent tasks a second that {need} arrive from second {begins:d} to {ends:d}")
+def given_urgent_arrivals(context, per_s, need, begins, ends):
+    advisor, cores, run_s = URGENT_TASKS[need]
+    arrive(
+        context,
+        per_s=per_s,
+        begins_s=begins,
+        ends_s=ends,
+        cores=cores,
+        queue=(advisor, 0, "pool"),
+        run_s=run_s,
+    )
 
 
 @given(
