Reserve no room below a cap for a gang whose workers are full

Room is now reserved only while the gang would fit on its workers, so that only tickets, starts or the cap are lacking.

--- a/features/start_bound.feature
+++ b/features/start_bound.feature
@@ -100,6 +100,15 @@
     When 34 seconds of planning pass
     Then the gang starts within 12 seconds
 
+  Scenario: Tasks of a team start although a gang of it, whose workers are full, would fill the cap
+    Given a leader that plans steps on 40 workers of 32 cores
+    And a team "small" with a cap of 100 cores
+    And workers 0 to 3 are full for 60 seconds
+    And a gang of 14 tasks of 7 cores of team "small" for workers 0 to 3 that becomes ready at second 1
+    And an overdue job of 20 tasks of 2 cores of team "small" that becomes ready at second 5
+    When 10 seconds of planning pass
+    Then all tasks of the overdue job start within 3 seconds
+
   Scenario Outline: A stalled step starts beside <count> stalled steps of a full pool
     Given a leader that plans steps on 60 workers of 32 cores
     And an event loop that takes 0.1 ms for a step in a round and carries 60 starts a second
--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -166,6 +166,45 @@
     context.model.after(second, submit)
 
 
+@given(
+    'a gang of {count:d} tasks of {cores:d} cores of team "{team}" for workers {first:d} to '
+    "{last:d} that becomes ready at second {second:d}"
+)
+def given_gang_for_workers(context, count, cores, team, first, last, second):
+    approved = frozenset(f"w{number}" for number in range(first, last + 1))
+    context.model.after(
+        second,
+        lambda: context.model.submit(
+            count=count,
+            amounts=Amounts(processors=cores * 1000, memory_mb=1024),
+            behavior=Behavior(run_s=2.0, approved=approved),
+            gang=True,
+            queue=("usual", 1, "pool"),
+            team=team,
+        ),
+    )
+
+
+@given(
+    'an overdue job of {count:d} tasks of {cores:d} cores of team "{team}" that becomes ready '
+    "at second {second:d}"
+)
+def given_overdue_job_of_team(context, count, cores, team, second):
+    def submit():
+        context.overdue_job = submit_tasks(
+            context,
+            count=count,
+            cores=cores,
+            queue=("none", 2, "pool"),
+            run_s=5.0,
+            waited_s=60.0,
+            team=team,
+        )
+
+    context.submitted_at = second
+    context.model.after(second, submit)
+
+
 @then("the gang starts within {seconds:d} seconds")
 def then_gang_started(context, seconds):
     waits = list_waits(context, context.gang)
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -264,11 +264,12 @@
         for unit in list(step.waiting.values()):
             if unit.not_before > round_.now:
                 continue
+            available = [w for w in approved if round_.may_use(w.id, step)]
             if not round_.check_cap(step, step.amounts * unit.unit.size):
+                self._keep_cap_for_gang(step, unit, available, round_)
                 if round_.is_cap_ready_soon(step):
                     self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
-            available = [w for w in approved if round_.may_use(w.id, step)]
             admitted = self._workers.select_admitted(step, queue, available, now=round_.now)
             chosen = None
             if unit.is_suspect:
@@ -279,7 +280,7 @@
                 round_.defer(step)
                 chosen = None
             if chosen is None:
-                round_.keep_cap(step, step.amounts * unit.unit.size)
+                self._keep_cap_for_gang(step, unit, available, round_)
                 self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
                 continue
             positions = iter(unit.unit.positions)
@@ -294,6 +295,13 @@
         if step.waiting:
             self._advice_planner.ask_for_gang(step, queue, round_, approved, rank=rank)
 
+    def _keep_cap_for_gang(
+        self, step: StepRun, unit: UnitRun, available: list[FleetWorker], round_: PlanningRound
+    ) -> None:
+        """Reserve room below a cap, unless the gang waits for room on its workers as well."""
+        if step.key in round_.in_turn and self._pack(step, unit, available, round_) is not None:
+            round_.keep_cap(step, step.amounts * unit.unit.size)
+
     def _pack(
         self, step: StepRun, unit: UnitRun, workers: list[FleetWorker], round_: PlanningRound
     ) -> Counter[str] | None:
@@ -337,8 +345,10 @@
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         if all(unit.not_before > round_.now for unit in step.waiting.values()):
             return
-        if not round_.check_cap(step, step.amounts) and not round_.is_cap_ready_soon(step):
-            return
+        if not round_.check_cap(step, step.amounts):
+            round_.keep_cap(step, step.amounts)
+            if not round_.is_cap_ready_soon(step):
+                return
         rank = self._rank(step, round_.now)
         candidates = self._workers.select_admitted(
             step, queue, self._workers.list_approved(step, queue, round_), now=round_.now
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -150,17 +150,13 @@
             expected.pop(worker.id, None)
 
     def check_cap(self, step: StepRun, amounts: Amounts) -> bool:
-        """Return whether a start keeps a team within its cap; record the step if it does not.
-
-        Room below the cap is reserved for a step that has its turn.
-        """
+        """Return whether a start keeps a team within its cap; record the step if it does not."""
         team = step.run.stored.team
         ends_at = math.inf if step.message.long_running else self.now + step.estimate_s
         if self.team_caps.allows(team, amounts, ends_at=ends_at):
             return True
         self.capped_teams.add(team)
         self.hold_back(step, WaitReason.TEAM_CAP)
-        self.keep_cap(step, amounts)
         return False
 
     def keep_cap(self, step: StepRun, amounts: Amounts) -> None:
