--- a/bench/leader_cost.py
+++ b/bench/leader_cost.py
@@ -25,7 +25,7 @@
 from anyio.abc import TaskGroup
 
 from dewspindle._internal.job_replica import JobReplicaInstance
-from dewspindle._internal.jobs.dispatcher import DispatchLimits
+from dewspindle._internal.jobs.dispatch_limits import DispatchLimits
 from dewspindle._internal.network.pooled_client import PooledJsonClient
 from dewspindle._internal.platform.cell_program import TASK_LEASE_MS
 from dewspindle._internal.platform.worker_client import CONNECTIONS_PER_WORKER, WorkerClient
--- a/features/lib/job_cell.py
+++ b/features/lib/job_cell.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from dewspindle._internal.exceptions import NotLeaderError, OutcomeUnknownError
-from dewspindle._internal.jobs.dispatcher import DispatchLimits
+from dewspindle._internal.jobs.dispatch_limits import DispatchLimits
 from dewspindle._internal.jobs.helper_registry import HelperRegistry
 from dewspindle._internal.jobs.leader_services import JobLeaderServices
 from dewspindle._internal.replication.formation import Formation
--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -42,6 +42,16 @@
     )
 
 
+def submit_later(context, second, **task):
+    """Submit at a given second the job that the scenario is about."""
+
+    def submit():
+        context.job = submit_tasks(context, **task)
+
+    context.submitted_at = second
+    context.model.after(second, submit)
+
+
 def arrive(context, *, per_s, begins_s, ends_s, **task):
     """Let jobs of one task arrive, several at a time."""
 
@@ -88,39 +98,36 @@
     "ready at second {second:d}"
 )
 def given_overdue_job(context, count, cores, second):
-    def submit():
-        context.overdue_job = submit_tasks(
-            context,
-            count=count,
-            cores=cores,
-            queue=("slow", 2, "pool"),
-            run_s=2.0,
-            waited_s=60.0,
-        )
-
-    context.submitted_at = second
-    context.model.after(second, submit)
+    submit_later(
+        context,
+        second,
+        count=count,
+        cores=cores,
+        queue=("slow", 2, "pool"),
+        run_s=2.0,
+        waited_s=60.0,
+    )
 
 
 @then("the overdue job starts within {seconds:d} seconds")
 def then_overdue_job_started(context, seconds):
-    waits = list_waits(context, context.overdue_job)
+    waits = list_waits(context)
     assert waits and min(waits) <= seconds, waits
 
 
 @then("all tasks of the overdue job start within {seconds:d} seconds")
 def then_all_started(context, seconds):
-    waits = list_waits(context, context.overdue_job)
-    assert len(waits) == context.overdue_job.steps[0, 0].message.count, len(waits)
+    waits = list_waits(context)
+    assert len(waits) == context.job.steps[0, 0].message.count, len(waits)
     assert max(waits) <= seconds, waits
 
 
-def list_waits(context, run):
-    """Return after how many seconds each task or gang of a job started."""
+def list_waits(context):
+    """Return after how many seconds each task or gang of the job started."""
     return [
         started_at - context.submitted_at
         for started_at, job in context.model.started
-        if job == run.stored.id
+        if job == context.job.stored.id
     ]
 
 
@@ -151,19 +158,16 @@
     "second {second:d}"
 )
 def given_gang_of_team(context, count, cores, team, second):
-    def submit():
-        context.gang = submit_tasks(
-            context,
-            count=count,
-            cores=cores,
-            queue=("usual", 1, "pool"),
-            run_s=2.0,
-            gang=True,
-            team=team,
-        )
-
-    context.submitted_at = second
-    context.model.after(second, submit)
+    submit_later(
+        context,
+        second,
+        count=count,
+        cores=cores,
+        queue=("usual", 1, "pool"),
+        run_s=2.0,
+        gang=True,
+        team=team,
+    )
 
 
 @given(
@@ -190,24 +194,21 @@
     "at second {second:d}"
 )
 def given_overdue_job_of_team(context, count, cores, team, second):
-    def submit():
-        context.overdue_job = submit_tasks(
-            context,
-            count=count,
-            cores=cores,
-            queue=("none", 2, "pool"),
-            run_s=5.0,
-            waited_s=60.0,
-            team=team,
-        )
-
-    context.submitted_at = second
-    context.model.after(second, submit)
+    submit_later(
+        context,
+        second,
+        count=count,
+        cores=cores,
+        queue=("none", 2, "pool"),
+        run_s=5.0,
+        waited_s=60.0,
+        team=team,
+    )
 
 
 @then("the gang starts within {seconds:d} seconds")
 def then_gang_started(context, seconds):
-    waits = list_waits(context, context.gang)
+    waits = list_waits(context)
     assert waits and min(waits) <= seconds, waits
 
 
--- a/src/dewspindle/_internal/job_replica.py
+++ b/src/dewspindle/_internal/job_replica.py
@@ -9,7 +9,7 @@
 from .http.server import HttpServer
 from .job_instance import LEADER_ATTEMPT_TIMEOUT_S, stop_servers
 from .jobs.advice_helper import AdviceHelper
-from .jobs.dispatcher import DispatchLimits
+from .jobs.dispatch_limits import DispatchLimits
 from .jobs.gateway import AdvisorGateway, WorkerGateway
 from .jobs.helper_registry import HelperRegistry
 from .jobs.leader_services import JobLeaderServices
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from operator import attrgetter
 from typing import Any
 
 from anyio.abc import TaskGroup
@@ -145,10 +146,6 @@
     asked_at: float = 0.0
     waiting_since: float | None = None  # Since when its step is stalled, if it has a turn.
 
-    def get_rank(self) -> tuple[float, ...]:
-        """Return the rank of the step, lower ones first."""
-        return self.rank
-
     def get_waiting_since(self) -> float:
         """Return since when the request or, in its turn, its step waits."""
         return self.asked_at if self.waiting_since is None else self.waiting_since
@@ -270,7 +267,7 @@
         free = {helper for helper in helpers if helper.address not in self._calls_in_flight}
         candidates = list(self._waiting)
         while free and candidates:
-            first = min(candidates, key=AdviceRequest.get_rank)
+            first = min(candidates, key=attrgetter("rank"))
             request = self._choose_next(first, candidates, now)
             is_in_turn = request is not first
             candidates.remove(request)
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -145,14 +145,8 @@
             approved=len(approved),
             odds=odds,
         )
-        limit = step.message.max_per_worker or step.message.count
         workers = choose_gang_candidates(
-            {
-                worker.id: min(limit, count_fitting(step.amounts, round_.get_free(worker)))
-                if round_.may_use(worker.id, step)
-                else 0
-                for worker in undecided
-            },
+            {worker.id: count_members(step, round_, worker) for worker in undecided},
             choice=choice,
             size=step.message.count,
             expected=count_gang_room(step, round_, approved),
@@ -279,19 +273,19 @@
     step: StepRun, round_: PlanningRound, worker: FleetWorker, *, within_s: float
 ) -> int:
     """Return how many tasks of a step fit on a worker now or, if none does, within a time."""
-    expected = round_.get_expected_free(worker, within_s=within_s)
-    if not step.amounts.fits_in(expected):
-        return 0
     return count_fitting(step.amounts, round_.get_free(worker)) or count_fitting(
-        step.amounts, expected
+        step.amounts, round_.get_expected_free(worker, within_s=within_s)
     )
 
 
 def count_gang_room(step: StepRun, round_: PlanningRound, workers: Iterable[FleetWorker]) -> int:
     """Return how many members of a gang fit on workers that are not set aside for others."""
+    return sum(count_members(step, round_, worker) for worker in workers)
+
+
+def count_members(step: StepRun, round_: PlanningRound, worker: FleetWorker) -> int:
+    """Return how many members of a gang fit on a worker, none if it is set aside for others."""
+    if not round_.may_use(worker.id, step):
+        return 0
     limit = step.message.max_per_worker or step.message.count
-    return sum(
-        min(limit, count_fitting(step.amounts, round_.get_free(worker)))
-        for worker in workers
-        if round_.may_use(worker.id, step)
-    )
+    return min(limit, count_fitting(step.amounts, round_.get_free(worker)))
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -1,8 +1,6 @@
 """The leader's job dispatcher: manages worker sessions and open jobs, and sends orders."""
 
-import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -20,8 +18,9 @@
 from ..utils.metrics import Metrics
 from ..utils.timers import Signal, TimerService, wait_for_event
 from .advice import AdviceCall, AdviceClient
+from .dispatch_limits import DispatchLimits
 from .end_reporter import EndReporter
-from .fleet import Fleet, HeartbeatLimits
+from .fleet import Fleet
 from .fleet_worker import FleetWorker, SuspensionCause
 from .gateway import OrderOutcome, WorkerGateway
 from .helper_registry import Helper
@@ -48,20 +47,6 @@
 logger = get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class DispatchLimits:
-    """Limits that the deployment configures."""
-
-    lease_s: float  # Lease of all tasks on a worker.
-    keep_ended_ms: int  # How long the state of an ended job can be read.
-    early_ms: int = 0  # How long before its due time an occurrence may start.
-    heartbeats: HeartbeatLimits = field(default_factory=HeartbeatLimits)
-    paces_starts: bool = False  # Whether starts are limited while the event loop falls behind.
-    max_lease_s: float = 0.0  # Longest lease that workers accept, if longer than `lease_s`.
-    # Whether run times are learnt from, so that starts avoid slow workers and bad neighbours.
-    avoids_interference: bool = False
-
-
 class JobDispatcher(StateListener):
     """Runs the open jobs during one term of the leader."""
 
@@ -141,12 +126,12 @@
             remove_worker=self._sessions.remove_worker,
             replay_heartbeat=self._sessions.replay_heartbeat,
         )
-        self._pacer = StartPacer()
+        self._pacer = StartPacer(is_enabled=limits.paces_starts)
         self._load = LoadReport(
             measure_work=self._measure_load,
             timers=timers,
             metrics=metrics,
-            on_lag=self._record_lag if limits.paces_starts else None,
+            on_lag=self._record_lag,
         )
         self._workers_reconciled = False
         self._group: TaskGroup | None = None
@@ -298,9 +283,6 @@
     def _record_lag(self, lag_s: float) -> None:
         self._pacer.record_lag(lag_s, now=self._timers.now())
 
-    def _get_start_budget(self, *, now: float) -> float:
-        return self._pacer.get_budget(now=now) if self._limits.paces_starts else math.inf
-
     def _measure_load(self) -> dict[str, Any]:
         return {
             **self._planner.measure_load(),
@@ -316,7 +298,7 @@
             may_act = self._may_act()
             if may_act:
                 self._check_reconciled()
-                start_budget = self._get_start_budget(now=began_at)
+                start_budget = self._pacer.get_budget(now=began_at)
                 starts = self._planner.plan(
                     workers_reconciled=self._workers_reconciled,
                     early_ms=self._limits.early_ms,
--- a/src/dewspindle/_internal/jobs/fleet.py
+++ b/src/dewspindle/_internal/jobs/fleet.py
@@ -17,7 +17,7 @@
 )
 from ..schema import jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
-from .fleet_worker import LATE_ORDER_WINDOW_S, FleetWorker, SuspensionCause
+from .fleet_worker import LATE_ORDER_WINDOW_S, FleetWorker, SuspensionCause, UnusableReason
 from .team_usage import TeamUsage
 
 START_MARGIN_S = 1.0  # A start order is sent again for up to 0.9 s.
@@ -132,9 +132,9 @@
             if worker.message.pool != pool:
                 continue
             reason = worker.find_unusable_reason(now)
-            if not reason:
+            if reason is None:
                 usable[worker.id] = worker
-            elif reason in ("suspended", "on probation"):
+            elif reason in (UnusableReason.SUSPENDED, UnusableReason.ON_PROBATION):
                 suspended.append(worker)
         if len(suspended) > MAX_SUSPECT_FRACTION * (len(suspended) + len(usable)):
             usable.update((w.id, w) for w in suspended if w.may_be_tried_again(now))
--- a/src/dewspindle/_internal/jobs/fleet_worker.py
+++ b/src/dewspindle/_internal/jobs/fleet_worker.py
@@ -37,6 +37,17 @@
     ORDERS_UNANSWERED = "orders-unanswered"
 
 
+class UnusableReason(Enum):
+    """Why no task may be started on a worker, for the log."""
+
+    LEAVES = "leaves"  # It drains or ends.
+    UNREACHABLE = "unreachable"  # It does not answer, or its clock is not known yet.
+    UNACCOUNTED = "unaccounted"  # It is not reconciled, or runs an unknown task.
+    SILENT = "silent"  # It may have shrunk since its last heartbeat.
+    SUSPENDED = "suspended"
+    ON_PROBATION = "on probation"
+
+
 @dataclass(slots=True, eq=False)
 class FleetWorker:
     """The leader's state of one incarnation of a worker."""
@@ -122,34 +133,29 @@
         self.consecutive_suspensions = 0
         self.failures.clear()
 
-    def find_unusable_reason(self, now: float) -> str:
-        """Return why no task may be started on the worker, or an empty string.
-
-        The reasons appear in the log. "leaves" means that it drains or ends, "unreachable" that
-        it does not answer or its clock is not known yet, "unaccounted" that it is not reconciled or
-        runs an unknown task, "suspended" that it is, and "silent" that it may have shrunk since.
-        """
+    def find_unusable_reason(self, now: float) -> UnusableReason | None:
+        """Return why no task may be started on the worker, or None if tasks may."""
         if self.has_deregistered or self.is_replaced or self.is_draining:
-            return "leaves"
+            return UnusableReason.LEAVES
         if not self.is_reachable or not self.lease.is_sampled:
-            return "unreachable"
+            return UnusableReason.UNREACHABLE
         if not self.is_reconciled or self.unknown_count:
-            return "unaccounted"
+            return UnusableReason.UNACCOUNTED
         if now - self.capacity_known_at >= self.heartbeat_timeout_s:
-            return "silent"
+            return UnusableReason.SILENT
         if self.is_suspended(now):
-            return "suspended"
+            return UnusableReason.SUSPENDED
         # After a suspension, one task must succeed on the worker before others are placed there, or
         # run for so long.
         if self.consecutive_suspensions and any(
             now - placement.placed_at < MAX_PROBATION_S for placement in self.placements.values()
         ):
-            return "on probation"
-        return ""
+            return UnusableReason.ON_PROBATION
+        return None
 
     def is_usable(self, now: float) -> bool:
         """Return whether tasks may be started on the worker."""
-        return not self.find_unusable_reason(now)
+        return self.find_unusable_reason(now) is None
 
     def is_suspended(self, now: float) -> bool:
         """Return whether the worker is suspended."""
--- a/src/dewspindle/_internal/jobs/leader_services.py
+++ b/src/dewspindle/_internal/jobs/leader_services.py
@@ -18,7 +18,8 @@
 from ..utils.metrics import Metrics
 from ..utils.timers import TimerService
 from .advice import AdviceCall
-from .dispatcher import DispatchLimits, JobDispatcher
+from .dispatch_limits import DispatchLimits
+from .dispatcher import JobDispatcher
 from .gateway import WorkerGateway
 from .helper_registry import HelperRegistry
 from .leader_views import LeaderState, View
--- a/src/dewspindle/_internal/jobs/load_report.py
+++ b/src/dewspindle/_internal/jobs/load_report.py
@@ -22,7 +22,7 @@
         measure_work: Callable[[], Mapping[str, Any]],
         timers: TimerService,
         metrics: Metrics,
-        on_lag: Callable[[float], None] | None = None,
+        on_lag: Callable[[float], None],
     ) -> None:
         self._measure_work = measure_work
         self._on_lag = on_lag
@@ -67,8 +67,7 @@
             await self._timers.sleep(LAG_CHECK_INTERVAL_S)
             late_s = self._timers.now() - slept_at - LAG_CHECK_INTERVAL_S
             self._longest_stall_s = max(self._longest_stall_s, late_s)
-            if self._on_lag is not None:
-                self._on_lag(late_s)
+            self._on_lag(late_s)
 
 
 def _get_percentile_ms(ordered: list[float], fraction: float) -> float:
--- a/src/dewspindle/_internal/jobs/planner_load.py
+++ b/src/dewspindle/_internal/jobs/planner_load.py
@@ -69,7 +69,7 @@
         """Return figures for the log; `ready` are the waiting steps in rank order."""
         now = self._timers.now()
         found = [(worker, worker.find_unusable_reason(now)) for worker in self._fleet]
-        usable = [worker for worker, reason in found if not reason]
+        usable = [worker for worker, reason in found if reason is None]
         capacity = sum(worker.capacity.processors for worker in usable)
         memory = sum(worker.capacity.memory_mb for worker in usable)
         explained = ready[:MAX_EXPLAINED_STEPS]
@@ -78,7 +78,7 @@
             self._log_oldest(ready, list_workers=list_workers, now=now)
         return {
             "usable_workers": len(usable),
-            "unusable_workers": dict(Counter(reason for _, reason in found if reason)),
+            "unusable_workers": dict(Counter(reason.value for _, reason in found if reason)),
             "free_processors": round(sum(w.free.processors for w in usable) / max(1, capacity), 3),
             "free_memory": round(sum(w.free.memory_mb for w in usable) / max(1, memory), 3),
             "waiting_steps": len(ready),
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -1,30 +1,28 @@
 """Selects in each planning round which waiting tasks start on which workers."""
 
 import math
-from collections import Counter
 from typing import Any
 
 from ..cell.jobs import JobStore
-from ..scheduling.gang_workers import GangWorkers
 from ..scheduling.inherited_work import SilentWorker
 from ..scheduling.job_order import compute_rank
-from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction, pack_gang
+from ..scheduling.job_placement import CandidateQueue, compute_max_free_fraction
 from ..scheduling.slowdowns import Slowdowns
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
 from .advice import AdviceClient, StepKey
 from .advice_planner import AdvicePlanner
-from .early_gangs import find_early_workers
 from .fleet import Fleet
 from .fleet_worker import FleetWorker
+from .gang_placer import GangPlacer
 from .inherited_steps import InheritedSteps
 from .planner_load import PlannerLoad
 from .planning_round import PlannedStart, PlanningRound
 from .relocation import StartRelocator
 from .round_order import RoundOrderer
 from .runs import JobRun, StepRun, UnitRun
-from .suspect_placement import choose_for_suspect, has_suspect
+from .suspect_placement import choose_for_suspect
 from .team_work import TeamWork
 from .wait_reasons import WaitReason
 from .worker_selector import WorkerSelector
@@ -63,6 +61,12 @@
         self._load = PlannerLoad(fleet=fleet, advice=advice, timers=timers)
         self._slowdowns = slowdowns or Slowdowns(timers=timers, is_enabled=False)
         self._workers = WorkerSelector(advice=advice, store=store)
+        self._gangs = GangPlacer(
+            advice=advice,
+            advice_planner=self._advice_planner,
+            workers=self._workers,
+            start=self._start,
+        )
         self._relocator = StartRelocator(
             self._slowdowns,
             fleet=fleet,
@@ -227,7 +231,7 @@
                 round_.hold_back(step, WaitReason.MAY_RUN_ALREADY)
                 continue
             if step.message.gang:
-                self._place_gang(step, queue, round_)
+                self._gangs.place(step, queue, round_, rank=self._rank(step, round_.now))
             else:
                 self._place_tasks(step, queue, round_)
 
@@ -258,90 +262,6 @@
     def _get_penalty(self, worker: FleetWorker) -> float:
         return SET_ASIDE_PENALTY if worker.id in self._set_aside_before else 0.0
 
-    def _place_gang(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
-        rank = self._rank(step, round_.now)
-        approved = self._workers.list_approved(step, queue, round_)
-        for unit in list(step.waiting.values()):
-            if unit.not_before > round_.now:
-                continue
-            available = [w for w in approved if round_.may_use(w.id, step)]
-            if not round_.check_cap(step, step.amounts * unit.unit.size):
-                self._keep_cap_for_gang(step, unit, available, round_)
-                if round_.is_cap_ready_soon(step):
-                    self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
-                continue
-            admitted = self._workers.select_admitted(step, queue, available, now=round_.now)
-            chosen = None
-            if unit.is_suspect:
-                apart = [worker for worker in admitted if not has_suspect(worker, round_)]
-                chosen = self._pack(step, unit, apart, round_)
-            chosen = chosen or self._pack(step, unit, admitted, round_)
-            if chosen is not None and round_.start_budget <= 0:
-                round_.defer(step)
-                chosen = None
-            if chosen is None:
-                self._keep_cap_for_gang(step, unit, available, round_)
-                self._set_aside_for_gang(step, queue, unit, approved, round_, rank=rank)
-                continue
-            positions = iter(unit.unit.positions)
-            workers = {
-                next(positions): worker_id
-                for worker_id, count in chosen.items()
-                for _ in range(count)
-            }
-            if unit.is_suspect:
-                round_.workers_with_suspect.update(chosen)
-            self._start(step, unit, workers, round_)
-        if step.waiting:
-            self._advice_planner.ask_for_gang(step, queue, round_, approved, rank=rank)
-
-    def _keep_cap_for_gang(
-        self, step: StepRun, unit: UnitRun, available: list[FleetWorker], round_: PlanningRound
-    ) -> None:
-        """Reserve room below a cap, unless the gang waits for room on its workers as well."""
-        if step.key in round_.in_turn and self._pack(step, unit, available, round_) is not None:
-            round_.keep_cap(step, step.amounts * unit.unit.size)
-
-    def _pack(
-        self, step: StepRun, unit: UnitRun, workers: list[FleetWorker], round_: PlanningRound
-    ) -> Counter[str] | None:
-        """Return how many members of a gang each worker gets, or None if they do not all fit."""
-        return pack_gang(
-            step.amounts,
-            unit.unit.size,
-            [(worker.id, round_.get_free(worker)) for worker in workers],
-            limit_per_worker=step.message.max_per_worker,
-        )
-
-    def _set_aside_for_gang(
-        self,
-        step: StepRun,
-        queue: jobs_pb2.Queue,
-        unit: UnitRun,
-        approved: list[FleetWorker],
-        round_: PlanningRound,
-        *,
-        rank: tuple[float, ...],
-    ) -> None:
-        """Set aside the workers on which a gang fits first, and keep their tickets valid.
-
-        A gang that fits already lacks only tickets, and keeps its workers for the call that brings
-        them. Limits hold for the others, whose workers stay partly empty until tasks end.
-        """
-        apart = [worker for worker in approved if not round_.is_set_aside(worker.id)]
-        members = self._pack(step, unit, apart, round_)
-        if members is not None:
-            chosen = GangWorkers(frozenset(members), round_.now)
-            if not self._advice.get(step.key).failures:
-                round_.set_aside(step, chosen, pool=queue.pool)
-        else:
-            early = find_early_workers(step, unit, apart, round_, pool=queue.pool)
-            if early is None:
-                return
-            chosen = early
-            round_.set_aside(step, chosen, pool=queue.pool)
-        self._advice_planner.renew_for_gang(step, queue, round_, chosen, approved=apart, rank=rank)
-
     def _place_tasks(self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound) -> None:
         if all(unit.not_before > round_.now for unit in step.waiting.values()):
             return
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -29,14 +29,6 @@
 EARMARK_FACTOR = 2
 
 
-def _get_processors(amounts: Amounts) -> int:
-    return amounts.processors
-
-
-def _get_memory_mb(amounts: Amounts) -> int:
-    return amounts.memory_mb
-
-
 @dataclass(frozen=True, slots=True)
 class PlannedStart:
     """A unit to start now, with its workers by task position and its tickets by worker."""
@@ -217,13 +209,12 @@
         """Return whether so much of a pool is free that workers are not what steps wait for."""
         is_spare = self._spare_pools.get(pool)
         if is_spare is None:
-            usable = list(self.get_usable(pool).values())
-            is_spare = all(
-                sum(get(w.free) for w in usable)
-                > SPARE_FRACTION * sum(get(w.capacity) for w in usable)
-                for get in (_get_processors, _get_memory_mb)
-            )
-            self._spare_pools[pool] = is_spare
+            usable = self.get_usable(pool).values()
+            free_processors = sum(worker.free.processors for worker in usable)
+            free_memory_mb = sum(worker.free.memory_mb for worker in usable)
+            is_spare = self._spare_pools[pool] = free_processors > SPARE_FRACTION * sum(
+                w.capacity.processors for w in usable
+            ) and free_memory_mb > SPARE_FRACTION * sum(w.capacity.memory_mb for w in usable)
         return is_spare
 
     def sum_free(self) -> Amounts:
--- a/src/dewspindle/_internal/platform/cell_program.py
+++ b/src/dewspindle/_internal/platform/cell_program.py
@@ -8,7 +8,7 @@
 from ..http.server import HttpServer
 from ..job_instance import JobInstance
 from ..job_replica import JobReplicaInstance
-from ..jobs.dispatcher import DispatchLimits
+from ..jobs.dispatch_limits import DispatchLimits
 from ..jobs.fleet import HeartbeatLimits
 from ..network.pooled_client import PooledJsonClient
 from ..replication.address_book import AddressBook
--- a/src/dewspindle/_internal/scheduling/start_pacing.py
+++ b/src/dewspindle/_internal/scheduling/start_pacing.py
@@ -35,7 +35,8 @@
 class StartPacer:
     """Token bucket of task starts whose rate follows the lag of the event loop."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_enabled: bool = True) -> None:
+        self._is_enabled = is_enabled
         self._limit: float | None = None  # Starts a second; None while there is no limit.
         self._tokens = 0.0
         self._refilled_at = 0.0
@@ -55,6 +56,8 @@
 
     def record_lag(self, lag_s: float, *, now: float) -> None:
         """Adapt the limit to the lag of one check."""
+        if not self._is_enabled:
+            return
         rate = self._measure_rate(now)
         self._lags.append(lag_s)
         if self._is_lag_lasting():
@@ -100,10 +103,12 @@
             self._tokens -= count
 
     def get_budget(self, *, now: float) -> float:
-        """Return how many tasks a planning round may start.
+        """Return how many tasks a planning round may start, infinity if starts are not paced.
 
         A gang is started whole while any budget is left; the excess is taken from later rounds.
         """
+        if not self._is_enabled:
+            return math.inf
         elapsed_s, self._refilled_at = now - self._refilled_at, now
         if self._limit is None:
             self._tokens = 0.0
