Choose the workers of a waiting request anew, and let stalled tasks use workers kept for gangs that do not fit

Requests of steps in their turn that were not sent for 0.5 s are now made anew; a step keeps its place by when it was first asked for since its last call, so that no gang that renews again and again counts as waiting longest. That replaces the time since which a step is stalled.

A turn lasts 2 s, and a step that a round held back for want of starts no longer counts as looked at.

--- a/bench/job_model.py
+++ b/bench/job_model.py
@@ -14,7 +14,7 @@
 import random
 import time
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -180,6 +180,9 @@
         advised, self._advised = self._advised, set()
         return advised
 
+    def withdraw_stale(self, keys: Collection[StepKey]) -> None:
+        """Withdraw nothing, as helpers are many and no request waits long."""
+
     def ask(self, request: AdviceRequest) -> None:
         """Queue a request unless one is pending for the step."""
         self.get(request.key).pending.update(request.workers)
--- a/features/start_bound.feature
+++ b/features/start_bound.feature
@@ -143,6 +143,23 @@
     When 10 seconds of planning pass
     Then the overdue job starts within 3 seconds
 
+  Scenario: Tasks start on workers kept for a gang that waits for a task beyond its estimate
+    Given a leader that plans steps on 20 workers of 32 cores
+    And worker 0 is full for 60 seconds, and its task was expected to take 0.5
+    And 1 urgent gangs of 4 tasks of 20 cores for workers 0 to 3
+    And tasks of 2 cores for workers 0 to 3 become ready at seconds 3, 4, 5 and 6
+    When 12 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
+  # Four long calls are made at a time, of 0.8 seconds each.
+  Scenario: A request that waits for a helper lists the workers that have room when it is sent
+    Given a leader and 4 replicas without entry instances that plan steps on 80 workers
+    And workers 40 to 79 become full for 1.2 seconds at second 0
+    And 12 tasks of 2 cores ask a slow advisor
+    And workers 0 to 39 become full for 30 seconds at second 0.5
+    When 10 seconds of planning pass
+    Then no step waits longer than 3 seconds while there is room for it twice over
+
   Scenario: Workers stay set aside for a gang while 100 steps of higher rank wait
     Given a leader that plans steps on 20 workers of 32 cores
     And worker 0 is full for 60 seconds
--- a/features/steps/start_bound_steps.py
+++ b/features/steps/start_bound_steps.py
@@ -4,7 +4,7 @@
 from dewspindle._internal.jobs.placements import PlacementPhase
 from dewspindle._internal.models.resources import Amounts
 from features.lib.busy_loop import BusyLoop
-from features.lib.waiting_steps import ROUND_S, Behavior
+from features.lib.waiting_steps import CAPACITY, ROUND_S, Behavior
 
 ARRIVAL_S = 0.1  # Between two arrivals of several tasks.
 # Advisor, cores and run time in seconds of urgent tasks.
@@ -293,3 +293,46 @@
 @given("room on workers on which a task ended badly is counted")
 def given_avoided_counted(context):
     context.model.check.counts_avoided_workers = True
+
+
+@given("{count:d} tasks of {cores:d} cores ask a slow advisor")
+def given_slow_requests(context, count, cores):
+    for _ in range(count):
+        submit_tasks(context, count=1, cores=cores, queue=("slow", 1, "pool"), run_s=4.0)
+
+
+@given("workers {first:d} to {last:d} become full for {seconds:g} seconds at second {second:g}")
+def given_full_later(context, first, last, seconds, second):
+    def occupy():
+        for number in range(first, last + 1):
+            worker = context.model.fleet.get(f"w{number}")
+            context.model.occupy(worker.id, worker.free, seconds)
+
+    context.model.after(second, occupy)
+
+
+@given(
+    "worker {number:d} is full for {seconds:d} seconds, and its task was expected to take "
+    "{estimate:g}"
+)
+def given_overrunning_task(context, number, seconds, estimate):
+    context.model.occupy(f"w{number}", CAPACITY, seconds, estimate_s=estimate)
+
+
+@given(
+    "tasks of {cores:d} cores for workers {first:d} to {last:d} become ready at seconds 3, 4, 5 "
+    "and 6"
+)
+def given_tasks_of_workers(context, cores, first, last):
+    approved = frozenset(f"w{number}" for number in range(first, last + 1))
+    for second in (3, 4, 5, 6):
+        context.model.after(
+            second,
+            lambda: context.model.submit(
+                count=1,
+                amounts=Amounts(processors=cores * 1000, memory_mb=cores * 1024),
+                behavior=Behavior(run_s=5.0, approved=approved),
+                gang=False,
+                queue=("usual", 1, "pool"),
+            ),
+        )
--- a/src/dewspindle/_internal/jobs/advice.py
+++ b/src/dewspindle/_internal/jobs/advice.py
@@ -39,6 +39,7 @@
 # One in so many calls is made for the request that has waited longest, once it has waited long.
 CALLS_PER_OLDEST = 4
 OLD_REQUEST_S = 1.0
+STALE_REQUEST_S = 0.5  # After which the workers of a request that was not sent are chosen anew.
 
 logger = get_logger(__name__)
 
@@ -56,6 +57,7 @@
     left_out_until: dict[str, float] = field(default_factory=dict)
     pending: set[str] = field(default_factory=set)  # Workers listed in requests without answer.
     was_asked: bool = False  # Whether any request was made.
+    asked_since: float | None = None  # When it was first asked for, if no helper was free since.
     failures: int = 0  # Consecutive calls without a decision.
     retry_at: float = float("-inf")
 
@@ -143,12 +145,8 @@
     expected_s: float
     rank: tuple[float, ...]
     purpose: AdvicePurpose = AdvicePurpose.TASKS
-    asked_at: float = 0.0
-    waiting_since: float | None = None  # Since when its step is stalled, if it has a turn.
-
-    def get_waiting_since(self) -> float:
-        """Return since when the request or, in its turn, its step waits."""
-        return self.asked_at if self.waiting_since is None else self.waiting_since
+    asked_at: float = 0.0  # When its step was first asked for, if no helper was free since.
+    queued_at: float = 0.0
 
     @property
     def is_long(self) -> bool:
@@ -252,10 +250,24 @@
             return
         if not advice.pending.isdisjoint(request.workers):
             return
-        request.asked_at = now
+        if advice.asked_since is None:
+            advice.asked_since = now
+        request.asked_at = advice.asked_since
+        request.queued_at = now
         advice.pending.update(request.workers)
         self._waiting.append(request)
 
+    def withdraw_stale(self, keys: Collection[StepKey]) -> None:
+        """Withdraw the requests of steps that have waited long, as their workers may be full.
+
+        A new request counts from when the withdrawn ones were made.
+        """
+        oldest = self._timers.now() - STALE_REQUEST_S
+        stale = [r for r in self._waiting if r.queued_at <= oldest and r.key in keys]
+        for request in stale:
+            self._waiting.remove(request)
+            self.get(request.key).pending.difference_update(request.workers)
+
     def dispatch(self) -> None:
         """Send waiting requests through free helpers, in rank order."""
         helpers = list(self._list_helpers())
@@ -284,6 +296,7 @@
             )
             free.remove(helper)
             self._waiting.remove(request)
+            self.get(request.key).asked_since = None
             self._calls_by_rank = 0 if is_in_turn else self._calls_by_rank + 1
             self._calls_in_flight[helper.address] = request.is_long
             self._used_at[helper.address] = now
@@ -299,8 +312,8 @@
         if self._calls_by_rank < CALLS_PER_OLDEST - 1:
             return first
         # Of several that have waited equally long, the one that ranks last.
-        oldest = max(candidates, key=lambda request: (-request.get_waiting_since(), request.rank))
-        return first if now - oldest.get_waiting_since() < OLD_REQUEST_S else oldest
+        oldest = max(candidates, key=lambda request: (-request.asked_at, request.rank))
+        return first if now - oldest.asked_at < OLD_REQUEST_S else oldest
 
     def take_load(self) -> dict[str, Any]:
         """Return figures on helpers and requests for the log, those on calls since the last time.
--- a/src/dewspindle/_internal/jobs/advice_planner.py
+++ b/src/dewspindle/_internal/jobs/advice_planner.py
@@ -13,7 +13,6 @@
     split_request,
 )
 from ..scheduling.job_placement import count_fitting
-from ..scheduling.start_turns import StartTurns
 from ..schema import jobs_pb2
 from .advice import (
     LONG_CALL_S,
@@ -21,7 +20,6 @@
     AdvicePurpose,
     AdviceRequest,
     StepAdvice,
-    StepKey,
     estimate_call_s,
 )
 from .fleet_worker import FleetWorker
@@ -40,9 +38,8 @@
 class AdvicePlanner:
     """Requests advice for steps that may start soon."""
 
-    def __init__(self, client: AdviceClient, *, turns: StartTurns[StepKey]) -> None:
+    def __init__(self, client: AdviceClient) -> None:
         self._client = client
-        self._turns = turns
 
     def ask_for_tasks(
         self, step: StepRun, queue: jobs_pb2.Queue, round_: PlanningRound, *, rank: Rank
@@ -242,7 +239,6 @@
     ) -> None:
         if not workers:
             return
-        is_in_turn = step.key in round_.in_turn and purpose is not AdvicePurpose.RENEWAL
         request = AdviceRequest(
             key=step.key,
             queue=queue.name,
@@ -250,7 +246,6 @@
             expected_s=estimate_call_s(queue.advisor, len(workers)),
             rank=rank,
             purpose=purpose,
-            waiting_since=self._turns.get_stalled_since(step.key) if is_in_turn else None,
         )
         round_.long_request_count += request.is_long
         self._client.get(step.key).was_asked = True
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -51,7 +51,7 @@
         self._timers = timers
         self._waiting: dict[StepKey, StepRun] = {}
         self._orderer = RoundOrderer()
-        self._advice_planner = AdvicePlanner(advice, turns=self._orderer.turns)
+        self._advice_planner = AdvicePlanner(advice)
         self._inherited = InheritedSteps(
             fleet=fleet, advice=advice, advice_planner=self._advice_planner
         )
@@ -178,6 +178,7 @@
         silent = [] if workers_reconciled else self._inherited.list_silent()
         self._place_in_turn(order.in_turn, round_, silent=silent)
         self._place_steps(order.ranked, round_, silent=silent)
+        self._orderer.record_looks(round_.looked_at)
         self._relocator.relocate(round_)
         self._last_round = round_
         self._set_aside_before = frozenset().union(
@@ -199,6 +200,7 @@
         """Place stalled steps, for a part of the budget where it is limited."""
         kept = 0.0 if math.isinf(round_.start_budget) else round_.start_budget / 2
         round_.in_turn = frozenset(step.key for step in steps)
+        self._advice.withdraw_stale(round_.in_turn)
         round_.start_budget -= kept
         self._place_steps(steps, round_, silent=silent)
         round_.start_budget += kept
--- a/src/dewspindle/_internal/jobs/planning_round.py
+++ b/src/dewspindle/_internal/jobs/planning_round.py
@@ -315,11 +315,14 @@
         return worker_id in self._set_aside
 
     def may_use(self, worker_id: str, step: StepRun) -> bool:
-        """Return whether a step may use a worker: if set aside, its tasks must end in time."""
+        """Return whether a step may use a worker: if set aside, its tasks must end in time.
+
+        A step in its turn need not wait for a gang that does not fit yet.
+        """
         entry = self._set_aside.get(worker_id)
         if entry is None:
             return True
         gang, ready_at = entry
-        if gang is step:
+        if gang is step or (ready_at > self.now and step.key in self.in_turn):
             return True
         return not step.message.long_running and self.now + step.estimate_s <= ready_at
--- a/src/dewspindle/_internal/jobs/round_order.py
+++ b/src/dewspindle/_internal/jobs/round_order.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from ..scheduling.start_turns import StartTurns
@@ -51,7 +51,6 @@
         `always` are looked at whatever their rank, such as those whose requests for advice were
         answered since the last round, as the tickets that they got do not stay valid for long.
         """
-        self._rounds += 1
         by_key = {step.key: step for step in ready}
         eligible = {step.key for step in ready if may_go_first(step)}
         self._turns.update(by_key, eligible=eligible, now=now)
@@ -63,8 +62,11 @@
         last = self._looked_at
         rotated = heapq.nsmallest(MAX_ROTATED, rest, key=lambda step: last.get(step.key, 0))
         chosen.update(step.key for step in rotated)
-        self._looked_at = {key: last.get(key, 0) for key in by_key} | dict.fromkeys(
-            chosen, self._rounds
-        )
+        self._looked_at = {key: last.get(key, 0) for key in by_key}
         ranked = [step for step in ready if step.key in chosen and step.key not in in_turn]
         return RoundOrder(list(in_turn.values()), ranked)
+
+    def record_looks(self, looked_at: Iterable[StepKey]) -> None:
+        """Record which of the chosen steps a round has looked at."""
+        self._rounds += 1
+        self._looked_at.update(dict.fromkeys(looked_at, self._rounds))
--- a/src/dewspindle/_internal/scheduling/start_turns.py
+++ b/src/dewspindle/_internal/scheduling/start_turns.py
@@ -13,7 +13,7 @@
 
 STALLED_AFTER_S = 1.0  # Without a start, although the step is ready.
 MAX_TURNS = 32  # At a time.
-TURN_S = 3.0  # After it others have their turn, if any wait for one.
+TURN_S = 2.0  # After it others have their turn, if any wait for one.
 MIN_TURN_S = 0.25  # Also if the step can do nothing.
 
 
@@ -26,10 +26,6 @@
         self._turns: dict[K, float] = {}  # With the time of their begin.
         self._held: set[K] = set()  # Turns that go on until a start.
 
-    def get_stalled_since(self, key: K) -> float | None:
-        """Return since when a ready step has no start, or None if it is not known."""
-        return self._stalled_since.get(key)
-
     def has_stalled(self, key: K, *, now: float) -> bool:
         """Return whether a ready step has had no start for long."""
         return now - self._stalled_since.get(key, now) >= STALLED_AFTER_S
