--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -79,7 +79,12 @@
         self.is_lost = False
         self._registry = registry
         self._timers = timers
-        self.relay = JobRelay(self, timers=timers, helper_address=address)  # type: ignore[arg-type]
+        self.relay = JobRelay(
+            self,  # type: ignore[arg-type]
+            timers=timers,
+            metrics=Metrics(instance=address, zone="z"),
+            helper_address=address,
+        )
 
     async def send(self, method: Any, request: Any, *, timeout_s: float, **_: Any) -> Any:
         """Answer for the leader, which learns of the entry instance from the request."""
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -137,7 +137,12 @@
     context.clock = ManualClock()
     timers = ManualTimerService(context.clock)
     context.leader = HeardLeader(timers)
-    context.relay = JobRelay(context.leader, timers=timers, helper_address="10.1.0.1:7000")
+    context.relay = JobRelay(
+        context.leader,
+        timers=timers,
+        metrics=Metrics(instance="i", zone="z"),
+        helper_address="10.1.0.1:7000",
+    )
 
 
 @when("its callers send nothing for {seconds:d} seconds")
--- a/features/steps/byte_limit_steps.py
+++ b/features/steps/byte_limit_steps.py
@@ -4,6 +4,7 @@
 from dewspindle._internal.exceptions import DewspindleError, NoLeaderError, NotLeaderError
 from dewspindle._internal.jobs.relay import JobRelay
 from dewspindle._internal.schema import cell_pb2, jobs_pb2, peers_pb2
+from dewspindle._internal.utils.metrics import Metrics
 from features.lib.clock import ManualClock
 
 MB = 1024 * 1024
@@ -31,7 +32,7 @@
     context.clock = ManualClock()
     timers = context.clock.make_timers()
     context.leader = SlowLeader(timers, delay / 1000 if unit == "ms" else delay)
-    context.relay = JobRelay(context.leader, timers=timers)
+    context.relay = JobRelay(context.leader, timers=timers, metrics=Metrics(instance="i", zone="z"))
 
 
 @when("{count:d} submissions of {size_kb:d} KB arrive at the same time")
--- a/src/dewspindle/_internal/job_entry.py
+++ b/src/dewspindle/_internal/job_entry.py
@@ -54,7 +54,10 @@
             attempt_timeout_s=LEADER_ATTEMPT_TIMEOUT_S,
         )
         self._relay = JobRelay(
-            leader, timers=timers, helper_address=settings.peer_address if advisor else ""
+            leader,
+            timers=timers,
+            metrics=metrics,
+            helper_address=settings.peer_address if advisor else "",
         )
         self._shutdown = anyio.Event()
         self._servers: list[HttpServer] = []
--- a/src/dewspindle/_internal/jobs/relay.py
+++ b/src/dewspindle/_internal/jobs/relay.py
@@ -12,6 +12,7 @@
 from ..schema import peers_pb2
 from ..schema.peers_pb2 import JOB_READ
 from ..utils.logs import get_logger
+from ..utils.metrics import Metrics
 from ..utils.timers import Signal, TimerService
 
 MAX_BATCH_REQUESTS = 64  # Requests in one message.
@@ -21,6 +22,7 @@
 RELAY_TIMEOUT_S = 2.8  # Longer than an election and the discovery of the next leader.
 # A helper that has nothing to relay announces itself, well within `ENTRY_TIMEOUT_S` of the leader.
 ANNOUNCE_INTERVAL_S = 1.0
+LATE_ANSWER_S = 0.5  # Later answers are logged.
 
 logger = get_logger(__name__)
 
@@ -30,6 +32,7 @@
     """A request that waits for its answer."""
 
     request: peers_pb2.JobRequest
+    queued_at: float
     done: anyio.Event = field(default_factory=anyio.Event)
     answer: peers_pb2.JobAnswer | None = None
     error: DewspindleError | None = None
@@ -42,9 +45,12 @@
 class BatchSender:
     """Sends requests of one kind in batches, so that reads do not wait for commits."""
 
-    def __init__(self, leader: LeaderClient, *, timers: TimerService, helper_address: str) -> None:
+    def __init__(
+        self, leader: LeaderClient, *, timers: TimerService, metrics: Metrics, helper_address: str
+    ) -> None:
         self._leader = leader
         self._timers = timers
+        self._metrics = metrics
         self._helper_address = helper_address
         self._waiting: list[PendingRequest] = []
         self._waiting_bytes = 0
@@ -98,6 +104,7 @@
         return batch
 
     async def _send_batch(self, batch: Sequence[PendingRequest]) -> None:
+        sent_at = self._timers.now()
         request = peers_pb2.RelayJobsRequest(
             requests=[item.request for item in batch], helper_address=self._helper_address
         )
@@ -113,12 +120,37 @@
             self._answered_at = self._timers.now()
             for item, single in zip(batch, answer.answers, strict=True):
                 item.answer = single
+            self._record_times(batch, sent_at=sent_at, handling_s=answer.handling_ms / 1000)
         finally:
             self._in_flight -= 1
             self._wake.set()
         for item in batch:
             item.done.set()
 
+    def _record_times(
+        self, batch: Sequence[PendingRequest], *, sent_at: float, handling_s: float
+    ) -> None:
+        """Record where the time of answered requests went, and log the late ones.
+
+        What the leader took is told apart from the way to it and back, with all retries.
+        """
+        transit_s = max(0.0, self._answered_at - sent_at - handling_s)
+        self._metrics.record("dewspindle_relay_seconds", transit_s, part="transit")
+        self._metrics.record("dewspindle_relay_seconds", handling_s, part="handling")
+        for item in batch:
+            queued_s = sent_at - item.queued_at
+            self._metrics.record("dewspindle_relay_seconds", queued_s, part="queue")
+            if self._answered_at - item.queued_at >= LATE_ANSWER_S:
+                logger.info(
+                    "request answered late",
+                    path=item.request.path,
+                    call=peers_pb2.JobCall.Name(item.request.call),
+                    queued_s=round(queued_s, 3),
+                    transit_s=round(transit_s, 3),
+                    handling_s=round(handling_s, 3),
+                    requests=len(batch),
+                )
+
     async def announce(self) -> None:
         """Send a message without requests, which tells the leader that this instance is alive."""
         try:
@@ -138,12 +170,19 @@
     """Relays callers' requests to the leader, reads apart from changes."""
 
     def __init__(
-        self, leader: LeaderClient, *, timers: TimerService, helper_address: str = ""
+        self,
+        leader: LeaderClient,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        helper_address: str = "",
     ) -> None:
         self._timers = timers
         self._is_helper = bool(helper_address)
-        self._reads = BatchSender(leader, timers=timers, helper_address=helper_address)
-        self._changes = BatchSender(leader, timers=timers, helper_address=helper_address)
+        self._reads, self._changes = (
+            BatchSender(leader, timers=timers, metrics=metrics, helper_address=helper_address)
+            for _ in range(2)
+        )
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -168,7 +207,7 @@
         time or too much waits already, `OutcomeUnknownError` if it may have had one.
         """
         sender = self._reads if request.call == JOB_READ else self._changes
-        item = PendingRequest(request)
+        item = PendingRequest(request, queued_at=self._timers.now())
         sender.add(item)
         try:
             with self._timers.fail_after(timeout_s):
--- a/src/dewspindle/_internal/jobs/request_handler.py
+++ b/src/dewspindle/_internal/jobs/request_handler.py
@@ -110,6 +110,7 @@
 
     async def answer(self, request: peers_pb2.RelayJobsRequest) -> peers_pb2.RelayJobsAnswer:
         """Commit the changes of a batch together, then answer its requests."""
+        received_at = self._timers.now()
         batch = _Batch(len(request.requests))
         for number, item in enumerate(request.requests):
             batch.answers[number] = self._prepare(batch, number, item)
@@ -117,7 +118,10 @@
         for number, item in enumerate(request.requests):
             if batch.answers[number] is None:
                 batch.answers[number] = self._answer_read(item)
-        return peers_pb2.RelayJobsAnswer(answers=[a for a in batch.answers if a is not None])
+        return peers_pb2.RelayJobsAnswer(
+            answers=[a for a in batch.answers if a is not None],
+            handling_ms=round((self._timers.now() - received_at) * 1000),
+        )
 
     def _prepare(self, batch: _Batch, number: int, item: JobRequest) -> JobAnswer | None:
         """Return the answer to a request that needs no commit; add its change to the batch."""
@@ -355,6 +359,10 @@
         job = self._find_job(item, queue)
         if job is None:
             return self._refuse(item, Refusal.NO_SUCH_JOB, 410)
+        if not job.is_open:
+            # Callers stop reading once they know of the end, so most ends are read once.
+            age_s = max(0, self._timers.wall_ms() - job.message.ended_ms) / 1000
+            self._metrics.record("dewspindle_end_read_seconds", age_s)
         return JobAnswer(status=200, state=self._get_status(job).value)
 
     def _get_status(self, job: StoredJob) -> JobStatus:
