--- a/features/lib/waiting_steps.py
+++ b/features/lib/waiting_steps.py
@@ -149,6 +149,7 @@
         self._worker_numbers = itertools.count()
         self._group = LoopGroup()
         self._is_started = False
+        self._background: list[Callable[[], Coroutine[Any, Any, None]]] = []
         for _ in range(workers):
             self.add_worker()
 
@@ -395,6 +396,10 @@
         at = self.clock.now + seconds
         heapq.heappush(self._events, (at, next(self._numbers), call, arguments))
 
+    def run_beside(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a task of its own beside the rounds, which begin later than this call."""
+        self._background.append(call)
+
     async def run(self, seconds: float) -> None:
         """Plan in rounds, as the dispatcher does."""
         if not self._is_started:
@@ -402,6 +407,8 @@
             self.client.start(self._group)  # type: ignore[arg-type]
             for entry in self.entry_instances.values():
                 self._group.start_soon(entry.relay.run)
+            for call in self._background:
+                self._group.start_soon(call)
             self._relay_requests()
         until = self.clock.now + seconds
         while self.clock.now < until:
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -29,3 +29,9 @@
     When the replica stops answering until the leader takes it for unreachable
     And the replica answers again
     Then the leader replicates to it again and logs that it is reachable
+
+  # Entry instances give up an attempt after 0.6 s, which is 40 turns of 15 ms.
+  Scenario: Requests that many instances send at once are answered within few turns of a busy event loop
+    Given a peer server that answers at once, whose event loop is busy in each turn
+    When 30 clients send 4 requests each at the same time
+    Then the last one is answered within 40 turns of the loop
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import hashlib
 import random
 
 import anyio
@@ -24,6 +25,7 @@
 
 REQUESTS = 3
 REQUEST_LIMIT_S = 0.05
+BUSY_BLOCK = bytes(2_000_000)  # Takes a millisecond or more to digest.
 
 
 def make_settings(address, **flags):
@@ -266,3 +268,76 @@
     assert not context.link_task.done(), "the link has ended"
     context.run(wait_until(lambda: context.link.confirmed_at > context.confirmed_at))
     assert known_faults.has_logged("replica reachable again")
+
+
+class BusyTurns:
+    """Keeps each turn of the event loop busy, and counts the turns."""
+
+    def __init__(self):
+        self.count = 0
+
+    async def run(self):
+        while True:
+            hashlib.sha256(BUSY_BLOCK)
+            self.count += 1
+            await anyio.lowlevel.checkpoint()
+
+
+@given("a peer server that answers at once, whose event loop is busy in each turn")
+def given_busy_server(context):
+    context.address = reserve_address()
+    context.server = PeerServer(make_settings(context.address))
+    context.turns = BusyTurns()
+
+    async def relay_jobs(request):
+        return peers_pb2.RelayJobsAnswer()
+
+    async def say_hello(request):
+        return peers_pb2.HelloAnswer()
+
+    context.server.register(methods.RELAY_JOBS, relay_jobs)
+    context.server.register(methods.HELLO, say_hello)
+    context.run(context.server.start())
+    context.closers.append(lambda: context.run(context.server.stop()))
+
+
+@when("{clients:d} clients send {count:d} requests each at the same time")
+def when_many_send(context, clients, count):
+    settings = make_settings(reserve_address())
+
+    async def send(client, number):
+        method, request = (
+            (methods.RELAY_JOBS, peers_pb2.RelayJobsRequest())
+            if number % 2
+            else (methods.HELLO, peers_pb2.HelloRequest())
+        )
+        await client.call(context.address, method, request, timeout_s=60)
+
+    async def send_all():
+        senders = [PeerClient(settings) for _ in range(clients)]
+        for sender in senders:
+            await send(sender, 0)  # Connects.
+        async with anyio.create_task_group() as group:
+            group.start_soon(context.turns.run)
+            began = context.turns.count
+            async with anyio.create_task_group() as calls:
+                for sender in senders:
+                    for number in range(count):
+                        calls.start_soon(send, sender, number)
+            context.turns_taken = context.turns.count - began
+            group.cancel_scope.cancel()
+        for sender in senders:
+            await sender.close()
+
+    context.run(send_all())
+
+
+@then("the last one is answered within {turns:d} turns of the loop")
+def then_answered_within(context, turns):
+    assert context.turns_taken <= turns, context.turns_taken
+
+
+@known_faults.shows_fault("calls-accepted-one-by-one")
+def shows_many_turns(context, events):
+    """Return whether calls to a busy server waited for each other."""
+    return getattr(context, "turns_taken", 0) > 40
--- /dev/null
+++ b/features/steps/urgent_job_steps.py
@@ -0,0 +1,62 @@
+from behave import given, then
+
+from dewspindle._internal.models.resources import Amounts
+from features.lib.known_faults import shows_fault
+from features.lib.waiting_steps import Behavior
+
+URGENT_AMOUNTS = Amounts(processors=5000, memory_mb=14_000)
+URGENT_RUN_S = 0.6
+
+
+@given('a backlog of {jobs:d} jobs of {count:d} tasks of {cores:d} cores of team "{team}"')
+def given_backlog(context, jobs, count, cores, team):
+    for _ in range(jobs):
+        context.model.submit(
+            count=count,
+            amounts=Amounts(processors=cores * 1000, memory_mb=cores * 1024),
+            behavior=Behavior(run_s=4.0),
+            gang=False,
+            queue=("usual", 1, "pool"),
+            team=team,
+        )
+
+
+@given(
+    "{per_s:d} urgent {kind} of {count:d} tasks a second arrive from second {begins:d} to {ends:d}"
+)
+def given_urgent_jobs(context, per_s, kind, count, begins, ends):
+    model = context.model
+    context.accepted_at = {}
+
+    async def arrive():
+        await model.timers.sleep(begins)
+        while model.now < ends:
+            run = model.submit(
+                count=count,
+                amounts=URGENT_AMOUNTS,
+                behavior=Behavior(run_s=URGENT_RUN_S),
+                gang=kind == "gangs",
+                queue=("fast", 0, "pool"),
+            )
+            context.accepted_at[run.stored.id] = model.now
+            await model.timers.sleep(1 / per_s)
+
+    model.run_beside(arrive)
+
+
+@then("9 of 10 urgent jobs start within {seconds:g} seconds")
+def then_started_in_time(context, seconds):
+    started_at = {}
+    for at, job in context.model.started:
+        started_at[job] = at  # Of the last task.
+    waits = sorted(
+        started_at.get(job, float("inf")) - at for job, at in context.accepted_at.items()
+    )
+    context.urgent_wait_s = waits[len(waits) * 9 // 10]
+    assert context.urgent_wait_s <= seconds, f"{len(waits)} jobs, 9 of 10 {context.urgent_wait_s}"
+
+
+@shows_fault("urgent-jobs-wait-for-rounds")
+def shows_slow_starts(context, events):
+    """Return whether the urgent jobs of a model started later than they have to."""
+    return getattr(context, "urgent_wait_s", 0.0) > 0.15
