--- a/src/dewspindle/_internal/network/answer_stream.py
+++ b/src/dewspindle/_internal/network/answer_stream.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..schema import peers_pb2
+from ..utils.logs import get_logger
 from .call_stream import END_OF_STREAM
 
 MAX_FRAME_BYTES = 1024 * 1024  # Of the answers in one frame, unless a single one is larger.
@@ -14,6 +15,8 @@
     [Coroutine[Any, Any, peers_pb2.CallAnswer]], "asyncio.Future[peers_pb2.CallAnswer]"
 ]
 
+logger = get_logger(__name__)
+
 
 class AnswerStream:
     """Runs the calls of one stream side by side, and sends the answers that have gathered."""
@@ -40,6 +43,8 @@
             writer = asyncio.ensure_future(self._write_answers())
             try:
                 await asyncio.wait({self._reader})
+                if not self._reader.cancelled() and (error := self._reader.exception()):
+                    logger.info("stream of calls broke", why=repr(error))
                 self._is_ending = True
                 self._changed.set()
                 await writer
--- a/src/dewspindle/_internal/network/call_stream.py
+++ b/src/dewspindle/_internal/network/call_stream.py
@@ -39,7 +39,7 @@
         self._unsent: dict[int, peers_pb2.Call] = {}
         self._pending: dict[int, asyncio.Future[peers_pb2.CallAnswer]] = {}
         self._has_unsent = asyncio.Event()
-        self._heard_at = self._loop.time()
+        self._waits_since = self._loop.time()  # For anything to arrive.
         self._is_closed = False
         self._tasks = [
             asyncio.ensure_future(self._run(self._write_calls())),
@@ -56,6 +56,8 @@
 
         Raises `PeerNotConnectedError` if it was certainly not sent, else `PeerUnreachableError`.
         """
+        if not self._pending:
+            self._waits_since = self._loop.time()
         number = next(self._numbers)
         future = self._pending[number] = self._loop.create_future()
         self._unsent[number] = peers_pb2.Call(number=number, method=method, request=request)
@@ -71,7 +73,7 @@
 
     def _expire(self, number: int) -> None:
         self._fail(number, "no answer before the timeout")
-        if self._loop.time() - self._heard_at >= SILENT_S:
+        if self._loop.time() - self._waits_since >= SILENT_S:
             self.close("the peer is silent")
 
     def _fail(self, number: int, why: str) -> None:
@@ -94,15 +96,15 @@
 
     async def _run(self, work: Awaitable[None]) -> None:
         """Run one direction of the stream until it ends."""
+        why = "the peer ended the stream"
         try:
             await work
         except grpc.aio.AioRpcError as error:
-            self.close(f"{error.code().name.lower()}: {error.details()}")
+            why = f"{error.code().name.lower()}: {error.details()}"
         except (asyncio.InvalidStateError, grpc.aio.UsageError) as error:
-            # The other direction has ended the call, and tells why.
-            self.close(str(error))
-        else:
-            self.close("the peer ended the stream")
+            why = str(error)  # The other direction ended first.
+        finally:
+            self.close(why)
 
     async def _write_calls(self) -> None:
         while True:
@@ -124,7 +126,7 @@
 
     async def _read_answers(self) -> None:
         while (frame := await self._rpc.read()) is not END_OF_STREAM:
-            self._heard_at = self._loop.time()
+            self._waits_since = self._loop.time()
             for answer in frame.answers:
                 future = self._pending.get(answer.number)
                 if future is not None and not future.done():
