--- a/features/admission.feature
+++ b/features/admission.feature
@@ -37,6 +37,11 @@
       | 1000  | 0.5 | 2000  | 500  | 2    |
       | 20    | 0.5 | 2000  | 10   | 0.01 |
 
+  # The inherited work that waits would otherwise be divided by the starts of its first rounds.
+  Scenario: A new leader predicts no wait from the starts of its first fraction of a second
+    Given 200 waiting tasks of 0.6 s on 5 cores, of 5000 cores in use
+    Then with 32 starts in the first 0.1 seconds, the next job waits for 0.12 s
+
   # Callers that all return at once would be refused again.
   Scenario: Refused callers return one after the other, at the rate of their team
     Given no spare capacity, and teams "large" of 20 and "small" of 2 jobs a second
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -213,10 +213,22 @@
     starts = StartRate()
     for number in range(21):
         starts.record(rate // 10, now=number / 10)
+    check_wait(context, starts, seconds, now=2.0)
+
+
+@then("with {count:d} starts in the first {span:g} seconds, the next job waits for {seconds:g} s")
+def then_early_wait(context, count, span, seconds):
+    starts = StartRate()
+    for at in (0.0, span):
+        starts.record(count // 2, now=at)
+    check_wait(context, starts, seconds, now=span)
+
+
+def check_wait(context, starts, seconds, *, now):
     backlog = context.work.make_backlog(
         free=Amounts(),
         capacity=context.capacity,
         rooms={},
-        starts_per_s=starts.compute(now=2.0),
+        starts_per_s=starts.compute(now=now),
     )
     assert abs(backlog.predict_wait() - seconds) <= 0.1 * seconds, backlog
--- a/src/dewspindle/_internal/scheduling/backlog.py
+++ b/src/dewspindle/_internal/scheduling/backlog.py
@@ -4,6 +4,7 @@
 fewer tasks than arrive although there is free capacity.
 """
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Mapping
 
@@ -11,6 +12,7 @@
 from .admission import Backlog
 
 WINDOW_S = 2.0  # Over which starts are counted; short bursts of starts must not count as a rate.
+MIN_SPAN_S = 1.0  # Of the rounds that a rate is computed from; a new leader knows none before.
 # Below this many waiting tasks the next planning rounds clear the backlog, whatever the rate was.
 MIN_WAITING_TASKS = 32
 
@@ -30,9 +32,9 @@
             self._count -= self._rounds.popleft()[1]
 
     def compute(self, *, now: float) -> float:
-        """Return the starts a second over the window, at least one."""
-        span_s = max(now - self._rounds[0][0], WINDOW_S / 2) if self._rounds else WINDOW_S
-        return max(1.0, self._count / span_s)
+        """Return the starts a second over the window, at least one; infinity if not known yet."""
+        span_s = now - self._rounds[0][0] if self._rounds else 0.0
+        return max(1.0, self._count / span_s) if span_s >= MIN_SPAN_S else math.inf
 
 
 class WaitingWork:
