--- a/src/dewspindle/_internal/commands/serve.py
+++ b/src/dewspindle/_internal/commands/serve.py
@@ -10,6 +10,7 @@
 from ..cli.setting_flags import with_setting_flags
 from ..exceptions import DewspindleError
 from ..settings.loading import load_settings
+from ..utils.garbage import limit_collections
 from ..utils.logs import LogFormat, configure_logs
 
 
@@ -24,6 +25,7 @@
         instance=settings.instance_id,
         zone=settings.availability_zone,
     )
+    limit_collections()
     try:
         anyio.run(partial(run_instance, settings))
     except* DewspindleError as group:
--- a/src/dewspindle/_internal/platform/programs.py
+++ b/src/dewspindle/_internal/platform/programs.py
@@ -13,6 +13,7 @@
 from ..exceptions import DewspindleError, InvalidSettingError
 from ..job_instance import JobInstance
 from ..replication.address_book import AddressBook
+from ..utils.garbage import limit_collections
 from ..utils.imports import report_imports
 from ..utils.logs import LogFormat, configure_logs, get_logger
 from ..utils.metrics import Metrics, initialize_reason_counters
@@ -110,6 +111,7 @@
     report_imports()
     initialize_reason_counters(metrics, enums=(Refusal, RetryReason))
     instance, address_book = make_instance(platform, metrics)
+    limit_collections()
     logger.info("starting", role=role, seeds=platform.seed_hosts, may_form=platform.may_form)
     async with anyio.create_task_group() as group:
         group.start_soon(watch_signals, instance, address_book, group)
