--- a/features/steps/urgent_job_steps.py
+++ b/features/steps/urgent_job_steps.py
@@ -1,7 +1,7 @@
 from behave import given, then
 
 from dewspindle._internal.models.resources import Amounts
-from features.lib.waiting_steps import Behavior
+from features.lib.waiting_steps import CAPACITY, Behavior
 
 URGENT_AMOUNTS = Amounts(processors=5000, memory_mb=14_000)
 URGENT_RUN_S = 0.6
@@ -53,3 +53,49 @@
     )
     wait_s = waits[len(waits) * 9 // 10]
     assert wait_s <= seconds, f"{len(waits)} jobs, 9 of 10 within {wait_s} s"
+
+
+@given(
+    "{per_s:d} urgent tasks that fill a worker and need no advice arrive a second from second "
+    "{begins:g} to {ends:g}"
+)
+def given_filling_tasks(context, per_s, begins, ends):
+    model = context.model
+    context.filling = []
+
+    async def arrive():
+        await model.timers.sleep(begins)
+        while model.now < ends:
+            run = model.submit(
+                count=1,
+                amounts=CAPACITY,
+                behavior=Behavior(run_s=URGENT_RUN_S),
+                gang=False,
+                queue=("none", 0, "pool"),
+            )
+            context.filling.append(run.stored.id)
+            await model.timers.sleep(1 / per_s)
+
+    model.run_beside(arrive)
+
+
+@given("worker {number:d} is full until its task ends between two rounds")
+def given_ending_task(context, number):
+    model = context.model
+    worker = model.fleet.get(f"w{number}")
+    model.occupy(worker.id, CAPACITY, 60.0, estimate_s=0.5)
+
+    async def end():
+        await model.timers.sleep(0.5)
+        while model.loop.is_busy_until > model.clock.now:  # With a round.
+            await model.timers.sleep(0.005)
+        for placement in list(worker.placements.values()):
+            worker.release(placement)
+
+    model.run_beside(end)
+
+
+@then("the first of them starts first")
+def then_first_starts_first(context):
+    started = [job for _, job in context.model.started if job in context.filling]
+    assert started[:1] == context.filling[:1], started[:3]
--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -210,18 +210,19 @@
         Workers and room below caps that the last round kept stay kept. While starts are limited,
         the rounds share them out if any step has stalled.
         """
-        steps = self._urgent.take()
+        now = self._timers.now()
+        steps = self._urgent.take(now=now)
         if is_limited and self._orderer.turns.list_turns():
             return []
         self._teams.begin_pass()
         round_ = PlanningRound(
-            self._fleet,
-            now=self._timers.now(),
-            team_caps=self._teams.caps,
-            start_budget=start_budget,
+            self._fleet, now=now, team_caps=self._teams.caps, start_budget=start_budget
         )
         round_.share_set_aside(self._last_round)
         self._place_steps([step for step in steps if step.waiting], round_, silent=[])
+        for step in steps:
+            if step.waiting and not self._advice.get(step.key).is_pending:
+                self._urgent.pass_over(step)
         self._relocator.relocate(round_)
         self._teams.record_starts(round_)
         return round_.starts
--- a/src/dewspindle/_internal/jobs/urgent_steps.py
+++ b/src/dewspindle/_internal/jobs/urgent_steps.py
@@ -5,6 +5,8 @@
 between rounds grow with the backlog. A pass looks at a few steps only.
 """
 
+import heapq
+
 from ..cell.jobs import JobStore
 from ..scheduling.job_order import Timeliness
 from ..schema import jobs_pb2
@@ -15,6 +17,7 @@
 
 MAX_TASKS = 32  # Of a step; placing more takes as long as a round.
 MAX_STEPS_PER_PASS = 8
+MAX_EARLIER_STEPS = 4  # That an earlier pass found no room for, in addition.
 
 
 class UrgentSteps:
@@ -23,6 +26,7 @@
     def __init__(self, store: JobStore) -> None:
         self._store = store
         self._touched: dict[StepKey, StepRun] = {}
+        self._passed_over: dict[StepKey, StepRun] = {}  # By passes that found no room for them.
         self._signal = Signal()
         self._highest: dict[str, int] = {}  # Priority of any queue, by pool.
         self._queues_version = -1  # Of the queue table whose priorities are kept.
@@ -44,11 +48,29 @@
     def remove(self, step: StepRun) -> None:
         """Remove a step of a job that ended."""
         self._touched.pop(step.key, None)
+        self._passed_over.pop(step.key, None)
+
+    def take(self, *, now: float) -> list[StepRun]:
+        """Return the steps of the next pass.
 
-    def take(self) -> list[StepRun]:
-        """Return the steps of the next pass."""
+        First come those that found no room before, so that what has become free since is theirs.
+        """
         keys = list(self._touched)[:MAX_STEPS_PER_PASS]
-        return [self._touched.pop(key) for key in keys]
+        self._passed_over = {
+            key: step
+            for key, step in self._passed_over.items()
+            if key not in keys and step.waiting and self._is_urgent(step, now)
+        }
+        earlier = heapq.nsmallest(
+            MAX_EARLIER_STEPS,
+            self._passed_over.values(),
+            key=lambda step: step.run.latency_target.ends_at,
+        )
+        return [*earlier, *(self._touched.pop(key) for key in keys)]
+
+    def pass_over(self, step: StepRun) -> None:
+        """Let later passes look again at a step that found no room."""
+        self._passed_over[step.key] = step
 
     def _is_urgent(self, step: StepRun, now: float) -> bool:
         """Return whether a step ranks before all that waits for rounds, and is decided quickly."""
--- a/src/dewspindle/_internal/scheduling/job_order.py
+++ b/src/dewspindle/_internal/scheduling/job_order.py
@@ -26,6 +26,11 @@
     accepted_at: float
     target_s: float
 
+    @property
+    def ends_at(self) -> float:
+        """Return when the target latency ends."""
+        return self.accepted_at + self.target_s
+
     def classify(self, *, now: float, remaining_s: float) -> Timeliness:
         """Return the timeliness of a job with the given remaining run time."""
         latency_s = now + remaining_s - self.accepted_at
@@ -67,5 +72,5 @@
         timeliness,
         priority,
         standing.is_over_share,
-        latency_target.accepted_at + latency_target.target_s,
+        latency_target.ends_at,
     )
