Let passes go over urgent steps in rank order

A pass went by the order in which something happened to the steps, so a team over its share could take what had become free before one below it. Found by reading; rank order is what rounds keep.

--- a/src/dewspindle/_internal/jobs/planning.py
+++ b/src/dewspindle/_internal/jobs/planning.py
@@ -211,7 +211,7 @@
         the rounds share them out if any step has stalled.
         """
         now = self._timers.now()
-        steps = self._urgent.take(now=now)
+        steps = self._urgent.take(now=now, get_rank=lambda step: self._rank(step, now))
         if is_limited and self._orderer.turns.list_turns():
             return []
         self._teams.begin_pass()
--- a/src/dewspindle/_internal/jobs/urgent_steps.py
+++ b/src/dewspindle/_internal/jobs/urgent_steps.py
@@ -6,13 +6,14 @@
 """
 
 import heapq
+from collections.abc import Callable
 
 from ..cell.jobs import JobStore
 from ..scheduling.job_order import Timeliness
 from ..schema import jobs_pb2
 from ..utils.timers import Signal
 from .advice import LONG_CALL_S, StepKey, estimate_call_s
-from .advice_planner import count_listed
+from .advice_planner import Rank, count_listed
 from .runs import StepRun
 
 MAX_TASKS = 32  # Of a step; placing more takes as long as a round.
@@ -50,10 +51,10 @@
         self._touched.pop(step.key, None)
         self._passed_over.pop(step.key, None)
 
-    def take(self, *, now: float) -> list[StepRun]:
-        """Return the steps of the next pass.
+    def take(self, *, now: float, get_rank: Callable[[StepRun], Rank]) -> list[StepRun]:
+        """Return the steps of the next pass in rank order.
 
-        First come those that found no room before, so that what has become free since is theirs.
+        With them come some that found no room before, so that they get what has become free since.
         """
         keys = list(self._touched)[:MAX_STEPS_PER_PASS]
         self._passed_over = {
@@ -61,12 +62,8 @@
             for key, step in self._passed_over.items()
             if key not in keys and step.waiting and self._is_urgent(step, now)
         }
-        earlier = heapq.nsmallest(
-            MAX_EARLIER_STEPS,
-            self._passed_over.values(),
-            key=lambda step: step.run.latency_target.ends_at,
-        )
-        return [*earlier, *(self._touched.pop(key) for key in keys)]
+        earlier = heapq.nsmallest(MAX_EARLIER_STEPS, self._passed_over.values(), key=get_rank)
+        return sorted([*earlier, *(self._touched.pop(key) for key in keys)], key=get_rank)
 
     def pass_over(self, step: StepRun) -> None:
         """Let later passes look again at a step that found no room."""
