Take back a call that fails as not sent before its writer can send it

Found by reading the change: a call that timed out unsent was told to have surely not run, and the writer, woken in the same turn of the loop, could still send it. A caller would have been told 503 for a job that was then accepted. The call is now taken back where it fails. The scenario failed before: the frame held call 3.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -47,3 +47,8 @@
     When a call times out while another waits to be sent
     Then the first one may have run, and the other one was not sent
     And the stream takes no more calls
+
+  Scenario: A call that failed as not sent is not sent by a write that goes on at the same moment
+    Given a stream of calls to a peer that takes one frame and answers nothing
+    When a call times out just as the frame before it was written
+    Then the call failed as not sent, and no frame holds it
--- a/features/steps/peer_steps.py
+++ b/features/steps/peer_steps.py
@@ -27,6 +27,7 @@
 REQUESTS = 3
 REQUEST_LIMIT_S = 0.05
 SILENT_CALL_LIMIT_S = 0.01
+LAST_CALL = 3  # Of three calls, each of which fills a frame.
 BUSY_BLOCK = bytes(2_000_000)  # Takes a millisecond or more to digest.
 
 
@@ -366,6 +367,7 @@
 
     def __init__(self):
         self.frames = []
+        self.released = anyio.Event()  # Lets the write of the second frame go on.
 
     def __call__(self):
         return self
@@ -376,7 +378,7 @@
     async def write(self, frame):
         self.frames.append(frame)
         if len(self.frames) > 1:
-            await anyio.sleep_forever()
+            await self.released.wait()
 
     async def read(self):
         await anyio.sleep_forever()
@@ -392,7 +394,8 @@
     context.closers.append(patch.stop)
 
     async def open_stream():
-        context.stream = call_stream.CallStream(SilentRpc(), "a")
+        context.rpc = SilentRpc()
+        context.stream = call_stream.CallStream(context.rpc, "a")
 
     context.run(open_stream())
 
@@ -426,3 +429,36 @@
 @then("the stream takes no more calls")
 def then_closed(context):
     assert context.stream.is_closed
+
+
+@when("a call times out just as the frame before it was written")
+def when_times_out_at_write(context):
+    context.error = None
+    size = call_stream.MAX_FRAME_BYTES
+
+    async def call(number):
+        try:
+            await context.stream.call("Hello", bytes(size), timeout_s=60)
+        except PeerUnreachableError as error:
+            if number == LAST_CALL:
+                context.error = error
+
+    async def call_all():
+        async with anyio.create_task_group() as group:
+            for number in range(1, LAST_CALL + 1):
+                group.start_soon(call, number)
+            await wait_until(lambda: len(context.rpc.frames) == LAST_CALL - 1)
+            context.rpc.released.set()
+            context.stream._expire(LAST_CALL)
+            for _ in range(10):
+                await anyio.lowlevel.checkpoint()
+            context.stream.close()
+
+    context.run(call_all())
+
+
+@then("the call failed as not sent, and no frame holds it")
+def then_not_written(context):
+    assert isinstance(context.error, PeerNotConnectedError), context.error
+    sent = [call.number for frame in context.rpc.frames for call in frame.calls]
+    assert LAST_CALL not in sent, sent
--- a/src/dewspindle/_internal/network/call_stream.py
+++ b/src/dewspindle/_internal/network/call_stream.py
@@ -80,7 +80,9 @@
         future = self._pending.get(number)
         if future is None or future.done():
             return
-        error = PeerNotConnectedError if number in self._unsent else PeerUnreachableError
+        # Taken back at once: the writer may run before the caller does.
+        is_unsent = self._unsent.pop(number, None) is not None
+        error = PeerNotConnectedError if is_unsent else PeerUnreachableError
         future.set_exception(error(f"{self._address}: {why}"))
 
     def close(self, why: str = "the stream was closed") -> None:
