Let a new replica take the place of a voter that was lost before it came, within the catch-up time

Cause: a lost voter kept its place for 8 s of silence, one constant for all deployments, while the platform's catch_up_s (4 to 6 s, from the start of the successor) was read by nobody. The silence counted anew with each leader, and each of the two changes of the membership waited for a check every 0.5 s.

Ruled out: the join of the successor. On it is a learner 0.8 s after its start by its log, and the rest of the time nothing happens. A shorter wait alone would replace voters that are frozen, cut off or restarting by any spare.

Change: what tells a machine that is gone for good is the new one in its place. All others keep the wait of 8 s. A leader's requests name the silent replicas, so that the next leader goes on with the wait; a leader that was paused watches anew. The check runs every 0.1 s and takes both steps at once; lines tell what a replacement waits for. A new replica asks the members that lead before those that name a leader that may be gone.

--- a/features/steps/formation_steps.py
+++ b/features/steps/formation_steps.py
@@ -126,6 +126,14 @@
 }
 
 
+async def advance_to_stage(context, step):
+    """Advance the time by up to 1 s, in steps that no stage is shorter than."""
+    for _ in range(500):
+        if MEMBERSHIP_STAGES[step](context):
+            return
+        await context.cell.clock.advance(0.002)
+
+
 @when("a voter is lost permanently, a replacement starts at a new address, and {fault} once {step}")
 def when_replaced(context, fault, step):
     cell = context.cell
@@ -133,10 +141,8 @@
     kill(context, context.lost)
     context.replacement = cell.add_node()
     start(context, [context.replacement])
-    for _ in range(400):
-        if MEMBERSHIP_STAGES[step](context):
-            break
-        context.run(cell.clock.advance(0.05))
+    for _ in range(20):
+        context.run(advance_to_stage(context, step))
     assert MEMBERSHIP_STAGES[step](context), f"not reached within 20 s: {step}"
     target = context.replacement if "replacement" in fault else cell.leader
     if "crashes" in fault:
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -167,7 +167,7 @@
 @given("a data folder with a replica identity file")
 def given_identity(context):
     store = MetadataStore(context.folder, disk=Disk())
-    store.load(instance_id="a", rng=random.Random(1))
+    store.load(instance_id="a", rng=random.Random(1), wall_ms=0)
 
 
 @when("the replica identity file is damaged")
@@ -178,7 +178,9 @@
 @then("loading the replica identity is refused as damaged-file")
 def then_identity_refused(context):
     try:
-        MetadataStore(context.folder, disk=Disk()).load(instance_id="a", rng=random.Random(1))
+        MetadataStore(context.folder, disk=Disk()).load(
+            instance_id="a", rng=random.Random(1), wall_ms=0
+        )
     except CorruptFileError:
         return
     raise AssertionError("the damage was not detected")
--- a/src/dewspindle/_internal/platform/instance_settings.py
+++ b/src/dewspindle/_internal/platform/instance_settings.py
@@ -7,7 +7,8 @@
 from .settings_file import PlatformSettings
 
 METRICS_PORT = 9310  # Must match `metrics` in deploy/system.toml.
-# Silence after which a voter is replaced; longer than typical freezes, restarts and partitions.
+# Silence after which a voter is replaced that was not lost shortly before a new replica started;
+# longer than typical freezes, restarts and partitions.
 REPLACE_SILENT_MS = 8000
 READY_DELAY_MS = 3500  # Two load balancer probes, 1 s apart, and a margin.
 
@@ -38,6 +39,7 @@
             # that accepts it.
             "operator_token": secrets.token_hex(),
             "replace_silent_ms": str(REPLACE_SILENT_MS),
+            "catch_up_ms": str(platform.catch_up_ms),
             # The ready delay and the drain, one after the other, end within the grace period.
             "drain_timeout_ms": str(platform.grace_ms // 3),
             "election_timeout_ms": "500",
--- a/src/dewspindle/_internal/platform/settings_file.py
+++ b/src/dewspindle/_internal/platform/settings_file.py
@@ -32,6 +32,7 @@
     heartbeat_interval_ms: int  # Of workers.
     sheds_load: bool  # Callers compete for capacity, and late refusals harm them.
     disk_mb: int  # Size of the data disk; 0 if it is not known, or on an instance without one.
+    catch_up_ms: int  # Time within which a new replica takes a lost one's place; 0 if not given.
     contact_timeout_ms: int  # Within which this and a heartbeat a shrunk worker must be known.
 
 
@@ -78,8 +79,9 @@
         heartbeat_interval_ms=_read_integer(fields, "heartbeat_interval_ms", default=1500),
         sheds_load="pressure" in fields.get("policies", "").split(","),
         disk_mb=_read_integer(fields, "limits.disk_mb", default=0),
+        catch_up_ms=_read_milliseconds(fields, "policy_limits.catch_up_s", default=0.0),
         contact_timeout_ms=_read_integer(fields, "policy_limits.contact_timeout_ms", default=3000),
-        grace_ms=int(1000 * _read_number(fields, "policy_limits.grace_period_s", default=6.0)),
+        grace_ms=_read_milliseconds(fields, "policy_limits.grace_period_s", default=6.0),
     )
 
 
@@ -104,6 +106,11 @@
     return int(_read_number(fields, name, default=default))
 
 
+def _read_milliseconds(fields: dict[str, str], name: str, *, default: float) -> int:
+    """Return a field in seconds as milliseconds."""
+    return int(1000 * _read_number(fields, name, default=default))
+
+
 def _read_peer_port(fields: dict[str, str]) -> int:
     """Return the peer port, which is the first of the internal ports; the others are not used."""
     text = _read_text(fields, "internal_ports").split(",")[0]
--- a/src/dewspindle/_internal/replication/context.py
+++ b/src/dewspindle/_internal/replication/context.py
@@ -14,6 +14,7 @@
 from ..schema import cell_pb2, peers_pb2, settings_pb2, storage_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import Signal, TimerService
+from .contacts import ContactHistory
 from .log import Log, Offload
 from .metadata import MetadataStore
 from .restarted_voters import LogEnd, RestartedVoters
@@ -21,6 +22,9 @@
 
 T = TypeVar("T")
 
+# In catch-up times. Leaves time for the elections and restarts that may come between.
+NEW_REPLICA_FACTOR = 5
+
 logger = get_logger(__name__)
 
 
@@ -57,6 +61,10 @@
     awaits_leader: bool = False
     process_id: str = field(default_factory=lambda: secrets.token_hex(8))
     restarted_voters: RestartedVoters = field(default_factory=RestartedVoters)
+    contacts: ContactHistory = field(default_factory=ContactHistory)
+    # When the data folder was created. Read from the wall clock at a restart, so a clock that was
+    # set since shifts it.
+    created_at: float = float("-inf")
 
     @property
     def replica_id(self) -> str:
@@ -98,6 +106,11 @@
         """Return the number of voters that form a majority."""
         return len(self.membership.voters) // 2 + 1
 
+    @property
+    def new_for_s(self) -> float:
+        """Return for how many seconds a replica may succeed a voter that was lost before it."""
+        return NEW_REPLICA_FACTOR * self.settings.catch_up_ms / 1000
+
     @property
     def log_end(self) -> LogEnd:
         """Return the term and index of the last entry of the log."""
--- a/src/dewspindle/_internal/replication/formation.py
+++ b/src/dewspindle/_internal/replication/formation.py
@@ -25,6 +25,16 @@
 logger = get_logger(__name__)
 
 
+def list_leader_addresses(members: list[peers_pb2.HelloAnswer]) -> list[str]:
+    """Return where the leader may be, first the members that say that they lead.
+
+    The others may name a leader that is gone, which no answer would tell for some time.
+    """
+    leading = [member.address for member in members if member.leads]
+    named = [member.leader_address for member in members if member.leader_address]
+    return list(dict.fromkeys([*leading, *named]))
+
+
 class Formation:
     """Makes a replica a member of a cell and answers the replicas that look for one.
 
@@ -285,9 +295,10 @@
         if context.metadata.phase == peers_pb2.PHASE_FORMING and initial.cell_id == cell_id:
             await self._become_member(initial)
             return
-        for member in members:
-            if member.leader_address and await self._request_join(member.leader_address):
+        for address in list_leader_addresses(members):
+            if await self._request_join(address):
                 # Only the cell id is stored; the members arrive with the log.
                 await self._become_member(cell_pb2.Membership(cell_id=cell_id))
-                logger.info("joined as a learner", cell=cell_id)
+                age_s = context.timers.now() - context.created_at
+                logger.info("joined as a learner", cell=cell_id, age_s=round(age_s, 3))
                 return
--- a/src/dewspindle/_internal/replication/handlers.py
+++ b/src/dewspindle/_internal/replication/handlers.py
@@ -131,17 +131,21 @@
 
     def _make_append_answer(self, *, matched: bool, last_index: int) -> peers_pb2.AppendAnswer:
         context = self._context
+        now = context.timers.now()
+        age_s = now - context.created_at
         return peers_pb2.AppendAnswer(
             term=context.term,
             matched=matched,
             last_index=last_index,
-            clock_s=context.timers.now(),
+            clock_s=now,
+            age_s=age_s if age_s <= context.new_for_s else None,
         )
 
     def _record_leader(self, request: peers_pb2.AppendRequest) -> None:
         context = self._context
         context.awaits_leader = False
         context.election_timer_started_at = context.timers.now()
+        context.contacts.record_request(request, now=context.timers.now())
         if context.role is not Role.FOLLOWER:
             context.step_down()
         context.view.set_leader(instance=request.leader_instance, address=request.leader_address)
--- a/src/dewspindle/_internal/replication/leadership.py
+++ b/src/dewspindle/_internal/replication/leadership.py
@@ -113,6 +113,19 @@
         link = self._links.get(ReplicaId(voter.replica_id))
         return link.confirmed_at if link else float("-inf")
 
+    def get_heard_at(self, replica_id: ReplicaId) -> float | None:
+        """Return when this leader or its predecessor last heard from a peer, None if unknown."""
+        link = self._links.get(replica_id)
+        if link is not None and link.confirmed_at > float("-inf"):
+            return link.confirmed_at
+        return self._context.contacts.get_heard_at(replica_id)
+
+    def _list_silent(self) -> dict[ReplicaId, float]:
+        """Return the peers not heard from for an election timeout, with the time of the last."""
+        oldest = self._context.timers.now() - self._context.election_timeout_s
+        heard_at = {replica_id: self.get_heard_at(replica_id) for replica_id in self._links}
+        return {key: at for key, at in heard_at.items() if at is not None and at < oldest}
+
     async def run(self) -> None:
         """Lead until this replica steps down.
 
@@ -235,8 +248,10 @@
         context = self._context
         while True:
             quorum_confirmed_at = self.quorum_confirmed_at
+            silent = self._list_silent()
             for link in self._links.values():
                 link.record_quorum(quorum_confirmed_at)
+                link.record_silent(silent)
             if context.view.revision >= self._term_start_index:
                 context.view.mark_fresh(revision=context.commit_index, at=quorum_confirmed_at)
                 context.view.set_leader(
--- a/src/dewspindle/_internal/replication/membership_manager.py
+++ b/src/dewspindle/_internal/replication/membership_manager.py
@@ -1,5 +1,7 @@
 """Membership changes, one replica at a time."""
 
+from collections.abc import Sequence
+
 import anyio
 
 from ..exceptions import NotFoundError, NotLeaderError, OutcomeUnknownError
@@ -7,8 +9,9 @@
 from ..schema import cell_pb2, peers_pb2
 from ..utils.logs import get_logger
 from .replica import Replica
+from .succession import SilenceLimits, Successor, VoterContact, choose_lost_voter
 
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.1
 MAX_PROMOTION_LAG = 200  # Entries by which a learner may lag when it becomes a voter.
 
 logger = get_logger(__name__)
@@ -23,6 +26,10 @@
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._lock = anyio.Lock()
+        self._checked_at = float("-inf")
+        # Since when this replica has led, and has run without a pause.
+        self._watched_since = float("-inf")
+        self._logged_waiting: tuple[tuple[str, ...], ...] = ()
 
     def _copy_membership(self) -> cell_pb2.Membership:
         membership = cell_pb2.Membership()
@@ -91,23 +98,33 @@
     async def run(self) -> None:
         """Replace lost voters by caught-up learners and fill vacancies, until cancelled.
 
-        A voter is lost if its data folder was emptied or if it has been silent for
-        `replace_silent_ms`. If that is 0, only emptied voters are replaced.
+        A voter is lost if its data folder was emptied, if it has been silent for
+        `replace_silent_ms`, or if it was silent when a new replica came (see `succession`). If
+        `replace_silent_ms` is 0, only emptied voters are replaced.
         """
         timers = self._replica.context.timers
+        self._watched_since = self._checked_at = timers.now()
         while True:
             await timers.sleep(CHECK_INTERVAL_S)
+            self._notice_pause(timers.now())
             try:
                 async with self._lock:
-                    await self._advance_replacement()
+                    while await self._advance_replacement():
+                        pass
             except (NotLeaderError, OutcomeUnknownError) as error:
                 logger.debug("membership not changed", why=str(error))
 
-    async def _advance_replacement(self) -> None:
-        """Advance one replacement by a step, first those of voters whose data folder was emptied.
+    def _notice_pause(self, now: float) -> None:
+        """Watch anew after a pause of this process, in which no replica could be heard."""
+        if now - self._checked_at > self._replica.context.election_timeout_s:
+            self._watched_since = now
+        self._checked_at = now
+
+    async def _advance_replacement(self) -> bool:
+        """Advance one replacement by a step; return whether there was one to take.
 
-        The first step removes the voter with its old replica id, the second one promotes the
-        instance's learner.
+        The first step removes the voter, the second one promotes a learner. Voters whose data
+        folder was emptied come first, and are replaced by the learner of the same instance.
         """
         membership = self._copy_membership()
         for learner in membership.learners:
@@ -117,49 +134,121 @@
             if not replaced:
                 await self._promote(learner.instance_id)
                 logger.info("voter replaced", instance=learner.instance_id)
-                return
-            if self._is_silent(replaced[0], self._replica.context.election_timeout_s):
+                return True
+            if self._is_silent(replaced[0]):
                 membership.voters.remove(replaced[0])
                 await self._replica.change_members(membership)
-                return
-        await self._advance_silent_voter_replacement(membership)
+                return True
+        return await self._advance_silent_voter_replacement(membership)
 
-    async def _advance_silent_voter_replacement(self, membership: cell_pb2.Membership) -> None:
-        """Advance the replacement of a silent voter by a caught-up learner by one step.
+    async def _advance_silent_voter_replacement(self, membership: cell_pb2.Membership) -> bool:
+        """Advance the replacement of a silent voter by a step; return whether there was one.
 
-        The first step removes the silent voter, the second one promotes the learner. The promotion
-        is tried first, as it also fills any other vacancy: `initial_voters` is the number of voters
-        that the cell should always have.
+        The promotion is tried before the removal, as it also fills any other vacancy:
+        `initial_voters` is the number of voters that the cell should always have.
         """
         settings = self._replica.context.settings
         if not settings.replace_silent_ms:
-            return
-        silent_s = settings.replace_silent_ms / 1000
+            return False
+        successors = self._list_successors(membership)
+        ready = [successor for successor in successors if successor.is_ready]
+        if ready and len(membership.voters) < settings.initial_voters:
+            await self._promote_successor(ready[0])
+            return True
+        if not successors:
+            return False
+        contacts = [self._make_contact(voter) for voter in membership.voters]
+        limits = SilenceLimits(settings.replace_silent_ms / 1000, settings.catch_up_ms / 1000)
+        lost = choose_lost_voter(contacts, successors, limits)
+        if lost is None:
+            self._log_waiting(contacts, successors)
+            return False
+        membership.voters.remove(lost.voter)
+        await self._replica.change_members(membership)
+        logger.warning(
+            "silent voter removed",
+            instance=lost.voter.instance_id,
+            silent_s=round(lost.silent_s, 3),
+            watched_s=round(lost.watched_s, 3),
+        )
+        return True
+
+    async def _promote_successor(self, successor: Successor) -> None:
+        await self._promote(successor.learner.instance_id)
+        now, created_at = self._replica.context.timers.now(), successor.created_at
+        logger.info(
+            "learner became a voter",
+            instance=successor.learner.instance_id,
+            age_s=None if created_at is None else round(now - created_at, 3),
+        )
+
+    def _list_successors(self, membership: cell_pb2.Membership) -> list[Successor]:
+        """Return the learners that may take the place of a voter of another instance."""
         voters = {voter.instance_id for voter in membership.voters}
-        candidates = [
-            learner
+        return [
+            Successor(
+                learner,
+                created_at=self._get_created_at(learner),
+                is_ready=self._is_caught_up(learner) and not self._is_silent(learner),
+            )
             for learner in membership.learners
             if learner.instance_id not in voters
-            and self._is_caught_up(learner)
-            and not self._is_silent(learner, self._replica.context.election_timeout_s)
         ]
-        if candidates and len(membership.voters) < settings.initial_voters:
-            await self._promote(candidates[0].instance_id)
-            logger.info("learner became a voter", instance=candidates[0].instance_id)
-            return
-        silent_voters = [voter for voter in membership.voters if self._is_silent(voter, silent_s)]
-        if candidates and silent_voters:
-            membership.voters.remove(silent_voters[0])
-            await self._replica.change_members(membership)
-            logger.warning("silent voter removed", instance=silent_voters[0].instance_id)
 
-    def _is_silent(self, member: cell_pb2.Voter, seconds: float) -> bool:
-        context = self._replica.context
-        if member.replica_id == context.replica_id:
-            return False
+    def _get_created_at(self, member: cell_pb2.Voter) -> float | None:
         leadership = self._replica.leadership
         link = leadership.links.get(ReplicaId(member.replica_id)) if leadership else None
-        if link is None or leadership is None:
-            return False
-        heard_at = max(link.confirmed_at, leadership.started_at)
-        return context.timers.now() - heard_at > seconds
+        return link.created_at if link else None
+
+    def _log_waiting(
+        self, contacts: Sequence[VoterContact], successors: Sequence[Successor]
+    ) -> None:
+        """Log what a new replica waits for before it can take the place of a silent voter."""
+        silent = [contact for contact in contacts if contact.silent_s > 0]
+        waiting = (
+            tuple(s.learner.instance_id for s in successors if s.created_at and not s.is_ready),
+            tuple(s.learner.instance_id for s in successors if s.created_at and s.is_ready),
+            tuple(contact.voter.instance_id for contact in silent),
+        )
+        if waiting == self._logged_waiting:
+            return
+        self._logged_waiting = waiting
+        if not silent or not (waiting[0] or waiting[1]):
+            return
+        logger.info(
+            "replacement waits",
+            catching_up=waiting[0],
+            caught_up=waiting[1],
+            silent_s={c.voter.instance_id: round(c.silent_s, 3) for c in silent},
+        )
+
+    def _make_contact(self, voter: cell_pb2.Voter) -> VoterContact:
+        return VoterContact(
+            voter,
+            silent_s=self._get_silence_s(voter),
+            watched_s=self._checked_at - self._watched_since,
+            heard_at=self._get_heard_at(voter),
+        )
+
+    def _get_heard_at(self, member: cell_pb2.Voter) -> float | None:
+        leadership = self._replica.leadership
+        return leadership.get_heard_at(ReplicaId(member.replica_id)) if leadership else None
+
+    def _is_silent(self, member: cell_pb2.Voter) -> bool:
+        return self._get_silence_s(member) > 0
+
+    def _get_silence_s(self, member: cell_pb2.Voter) -> float:
+        """Return for how long a replica has not been heard from, 0 for up to an election timeout.
+
+        It counts on from the leader before, but this one, too, has to miss its answers.
+        """
+        context = self._replica.context
+        now, timeout_s = context.timers.now(), context.election_timeout_s
+        leads = self._replica.leadership is not None
+        if member.replica_id == context.replica_id or not leads:
+            return 0.0
+        if now - self._watched_since <= timeout_s:
+            return 0.0
+        heard_at = self._get_heard_at(member)
+        silent_s = now - (self._watched_since if heard_at is None else heard_at)
+        return silent_s if silent_s > timeout_s else 0.0
--- a/src/dewspindle/_internal/replication/metadata.py
+++ b/src/dewspindle/_internal/replication/metadata.py
@@ -42,13 +42,18 @@
         self._path = folder / FILE_NAME
         self._disk = disk
 
-    def load(self, *, instance_id: str, rng: random.Random) -> storage_pb2.ReplicaMetadata:
+    def load(
+        self, *, instance_id: str, rng: random.Random, wall_ms: int
+    ) -> storage_pb2.ReplicaMetadata:
         """Return the stored metadata, or store a new identity if there is none."""
         self._path.parent.mkdir(parents=True, exist_ok=True)
         if self._path.exists():
             return self._read()
         metadata = storage_pb2.ReplicaMetadata(
-            replica_id=make_random_id(rng), instance_id=instance_id, format=FORMAT
+            replica_id=make_random_id(rng),
+            instance_id=instance_id,
+            format=FORMAT,
+            created_ms=wall_ms,
         )
         self.save(metadata)
         return metadata
--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from ..models.ids import ReplicaId
 from ..schema import cell_pb2, peers_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import wait_for_event
@@ -27,6 +28,8 @@
         self._confirmed_at = float("-inf")
         self._echo_clock_s = 0.0  # Clock of the peer in its last answer; 0 before the first one.
         self._quorum_confirmed_at = float("-inf")
+        self._silent_since: dict[ReplicaId, float] = {}
+        self._created_at: float | None = None
         self._reachable = True
 
     @property
@@ -39,6 +42,11 @@
         """Return when the latest request that the peer answered was sent."""
         return self._confirmed_at
 
+    @property
+    def created_at(self) -> float | None:
+        """Return when the peer's data folder was created, or None if that is long ago."""
+        return self._created_at
+
     @property
     def peer(self) -> cell_pb2.Voter:
         """Return the replica that this link replicates to."""
@@ -61,6 +69,10 @@
         """Record when a quorum last confirmed the leader, for the next requests."""
         self._quorum_confirmed_at = at
 
+    def record_silent(self, since: dict[ReplicaId, float]) -> None:
+        """Record when silent replicas were last heard from, for the next requests."""
+        self._silent_since = since
+
     async def run(self) -> None:
         """Send entries and heartbeats until this replica leads no longer, or cancelled."""
         context = self._context
@@ -131,12 +143,17 @@
             age_s=max(0.0, min(now - self._quorum_confirmed_at, 1e9)),
             leader_instance=context.settings.instance_id,
             leader_address=context.settings.peer_address,
+            silent=[
+                peers_pb2.SilentReplica(replica_id=replica_id, silent_s=now - since)
+                for replica_id, since in self._silent_since.items()
+            ],
         )
         answer = await self._send_append(request)
         self._sent_commit_index = request.commit_index
         if not await self._accept_term(answer.term, sent_at=now):
             return False
         self._echo_clock_s = answer.clock_s
+        self._created_at = now - answer.age_s if answer.HasField("age_s") else None
         if not answer.matched:
             self._next_index = max(1, min(answer.last_index + 1, self._next_index - 1))
             return True
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -70,7 +70,9 @@
     disk = disk or Disk()
     folder = Path(settings.data_dir)
     metadata_store = MetadataStore(folder, disk=disk)
-    metadata = metadata_store.load(instance_id=settings.instance_id, rng=rng)
+    metadata = metadata_store.load(
+        instance_id=settings.instance_id, rng=rng, wall_ms=timers.wall_ms()
+    )
     log = Log(
         folder,
         segment_bytes=settings.segment_bytes,
@@ -95,6 +97,7 @@
         commit_index=log.snapshot_index,
         election_timer_started_at=timers.now() - compute_initial_timer_age(settings),
         awaits_leader=metadata.phase == peers_pb2.PHASE_MEMBER,
+        created_at=timers.now() - max(0, timers.wall_ms() - metadata.created_ms) / 1000,
     )
 
 
--- /dev/null
+++ b/src/dewspindle/_internal/replication/succession.py
@@ -0,0 +1,80 @@
+"""Which voter a replica may take the place of.
+
+Silence alone does not tell a voter that is gone for good from one that is frozen, cut off or
+restarting. A replica that was created shortly after a voter fell silent does, as machines are
+replaced by new ones.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..schema import cell_pb2
+
+# Share of the catch-up time for which a voter must be silent. The rest is left for the start of its
+# successor, for an election, and for the changes of the membership.
+SILENT_SHARE = 0.3
+# A machine may still answer for a moment after its successor has started.
+OVERLAP_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class VoterContact:
+    """What the leader knows of a voter."""
+
+    voter: cell_pb2.Voter
+    silent_s: float  # 0 while it answers.
+    watched_s: float  # For which this leader has sent to it; the leader before may have seen more.
+    heard_at: float | None  # None if no leader has heard from it, as far as this one knows.
+
+
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """A learner that may become a voter."""
+
+    learner: cell_pb2.Voter
+    created_at: float | None  # None if that is long ago.
+    is_ready: bool  # It answers, and has caught up with the log.
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceLimits:
+    """For how long voters must be silent before they are replaced."""
+
+    any_s: float
+    catch_up_s: float  # 0 if new replicas are treated as all others.
+
+
+def is_predecessor(contact: VoterContact, successor: Successor) -> bool:
+    """Return whether a voter has been silent since about the time a replica was created."""
+    if successor.created_at is None or contact.silent_s <= 0:
+        return False
+    return contact.heard_at is None or contact.heard_at <= successor.created_at + OVERLAP_S
+
+
+def choose_lost_voter(
+    contacts: Sequence[VoterContact], successors: Sequence[Successor], limits: SilenceLimits
+) -> VoterContact | None:
+    """Return the voter to replace by a successor that is ready, or None.
+
+    Of several silent voters, the last to fall silent is chosen, as its successor comes soon after.
+    """
+    if not any(successor.is_ready for successor in successors):
+        return None
+    # A connection that fell silent while another replica led may still have to be replaced.
+    lost = [c for c in contacts if min(c.silent_s, c.watched_s) > limits.any_s]
+    if not lost and limits.catch_up_s:
+        lost = _list_predecessors(contacts, successors, limits)
+    return min(lost, key=lambda contact: contact.silent_s, default=None)
+
+
+def _list_predecessors(
+    contacts: Sequence[VoterContact], successors: Sequence[Successor], limits: SilenceLimits
+) -> list[VoterContact]:
+    """Return the silent voters that new replicas were created to replace."""
+    new = [successor for successor in successors if successor.created_at is not None]
+    suspects = [c for c in contacts if any(is_predecessor(c, successor) for successor in new)]
+    silent_s = SILENT_SHARE * limits.catch_up_s
+    if len(suspects) > len(new):
+        # Some of them will return. The longer wait tells which.
+        silent_s *= 2
+    return [contact for contact in suspects if contact.silent_s > silent_s]
