Keep what one worker or another writer sends from ending a process

Cause: the id came from the path and was checked by nothing, so it was committed as a worker's. The HTTP library refuses it in a header with a ValueError, which nothing between that call and the process expected. The traces of the ends name the header; no other line was missing to tell.

The class is wider. By tests on the code before, the same ends came of an infinite or negative number in a worker's lists, an unpaired surrogate in a checkpoint or in advice, deeply nested JSON and numbers of 400 digits; an attempt of 2^52 of a known task was committed and left no number for the next attempt; a checkpoint null was handed on as "None"; a response was read whatever its size; and any number of new ids became workers.

Change: each boundary decodes strictly into values in range, or skips the row; an end with a bad checkpoint counts, without it. Behind that, an unexpected error of a call to one worker counts as no answer, and one in the handling of its answer as a failed renewal: logged with the worker's id, tried again with a growing delay, its lease renewed no longer, so that its tasks are placed elsewhere once that is over. Errors of the log and of the leadership are passed on as before. A state that holds such an id leads: that worker is not called. At most 4,096 workers are recorded.

--- a/features/lib/stub_worker.py
+++ b/features/lib/stub_worker.py
@@ -19,6 +19,8 @@
     def __init__(self) -> None:
         self.address = reserve_address()
         self.responses: dict[str, tuple[int, Any]] = {}
+        # Sent for each request in place of a response, with its declared length, if any.
+        self.raw_response: tuple[bytes, int | None] | None = None
         self.requests: list[tuple[str, dict[str, str], dict[str, Any]]] = []
         self._finished_tasks: list[list[Any]] = []
         self.server = HttpServer(self, address=self.address)
@@ -40,6 +42,13 @@
         headers = {key.decode(): value.decode() for key, value in scope["headers"]}
         fields = json.loads(body) if body else {}
         self.requests.append((scope["path"], headers, fields))
+        if self.raw_response is not None:
+            content, length = self.raw_response
+            raw = [(b"content-type", b"application/json")]
+            raw += [(b"content-length", b"%d" % length)] if length is not None else []
+            await send({"type": "http.response.start", "status": 200, "headers": raw})
+            await send({"type": "http.response.body", "body": content})
+            return
         status, response = self.responses.get(scope["path"]) or self._run(scope["path"], fields)
         content = json.dumps(response).encode()
         raw = [(b"content-type", b"application/json"), (b"content-length", b"%d" % len(content))]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -385,24 +385,25 @@
             return answer
 
 
-@when("the operator sends a queue table, the worker a heartbeat and a caller a job that completes")
-def when_job_runs(context):
+async def run_job(context):
+    """Configure the platform's programs, and submit a job that completes on the stub worker."""
     path = "/q/5c0e7a21d94b36f8"
     headers = {"Host": "jobs.example"}
+    await request_until(context.control, "POST", "/Config.Replace", body=QUEUE_TABLE)
+    read = await request_until(context.control, "GET", "/Config.Read")
+    assert read.body == QUEUE_TABLE, read.body
+    heartbeat = {**HEARTBEAT, "address": context.stub_worker.address}
+    await request_until(context.control, "POST", "/Instances.Heartbeat/i-1", body=heartbeat)
+    await request_until(context.client, "POST", path, body=JOB, headers=headers)
+    while True:
+        answer = await request_until(context.client, "GET", path, headers=headers)
+        if answer.body["state"] == "completed":
+            return
 
-    async def go():
-        await request_until(context.control, "POST", "/Config.Replace", body=QUEUE_TABLE)
-        read = await request_until(context.control, "GET", "/Config.Read")
-        assert read.body == QUEUE_TABLE, read.body
-        heartbeat = {**HEARTBEAT, "address": context.stub_worker.address}
-        await request_until(context.control, "POST", "/Instances.Heartbeat/i-1", body=heartbeat)
-        await request_until(context.client, "POST", path, body=JOB, headers=headers)
-        while True:
-            answer = await request_until(context.client, "GET", path, headers=headers)
-            if answer.body["state"] == "completed":
-                return
-
-    context.run(go())
+
+@when("the operator sends a queue table, the worker a heartbeat and a caller a job that completes")
+def when_job_runs(context):
+    context.run(run_job(context))
 
 
 @then("the worker received a start order for each task, with its payload and a fencing token")
--- a/src/dewspindle/_internal/exceptions.py
+++ b/src/dewspindle/_internal/exceptions.py
@@ -192,6 +192,14 @@
     hint = "wait until ended work is forgotten, or raise --max-state-bytes where the disks allow it"
 
 
+class TooManyWorkersError(DewspindleError):
+    """As many workers are known as a cell can hold, so no new one is recorded."""
+
+    code = "too-many-workers"
+    status = 503
+    hint = "workers that have gone are forgotten after some seconds without heartbeats"
+
+
 class SyncFailedError(DewspindleError):
     """A write or sync of the data folder failed, so the contents of the disk are unknown."""
 
--- a/src/dewspindle/_internal/jobs/dispatcher.py
+++ b/src/dewspindle/_internal/jobs/dispatcher.py
@@ -18,6 +18,7 @@
 from ..utils.metrics import Metrics
 from ..utils.timers import TimerService
 from .advice import AdviceCall, AdviceClient, StepKey
+from .contained_gateway import ContainedGateway
 from .dispatch_limits import DispatchLimits
 from .end_reporter import EndReporter
 from .fleet import Fleet
@@ -62,7 +63,7 @@
     ) -> None:
         self._replica = replica
         self._view = view
-        self._gateway = gateway
+        self._gateway = ContainedGateway(gateway)
         self._limits = limits
         self._timers = timers
         self._metrics = metrics
@@ -96,7 +97,7 @@
             ),
         )
         self._orders = OrderSender(
-            gateway=gateway,
+            gateway=self._gateway,
             fleet=self._fleet,
             timers=timers,
             metrics=metrics,
@@ -120,6 +121,7 @@
             wake_planner=self.wake_planner,
             remove_worker=self._sessions.remove_worker,
             replay_heartbeat=self._sessions.replay_heartbeat,
+            term=term,
         )
         self._pacer = StartPacer(is_enabled=limits.paces_starts)
         self._load = LoadReport(
--- a/src/dewspindle/_internal/jobs/open_jobs.py
+++ b/src/dewspindle/_internal/jobs/open_jobs.py
@@ -9,7 +9,7 @@
 from ..scheduling.crash_blame import CrashHistory
 from ..schema import jobs_pb2
 from .placements import JobTaskKey
-from .runs import JobRun, UnitRun
+from .runs import JobRun, UnitRun, get_last_attempt
 
 
 class OpenJobs:
@@ -41,6 +41,11 @@
         position = stored.layout.get_position(task.occurrence, task.step, task.index)
         return None if position is None else (task.job, position)
 
+    def may_have_started(self, key: JobTaskKey, attempt: int, *, term: int) -> bool:
+        """Return whether a leader of up to a term can have started an attempt of a known job."""
+        accepted_term = self._store.jobs[key[0]].message.accepted_term
+        return 0 < attempt <= get_last_attempt(accepted_term, term=term)
+
     def find_unit(self, key: JobTaskKey) -> UnitRun | None:
         """Return the unit of a task of an open job, or None."""
         run = self._runs.get(key[0])
--- a/src/dewspindle/_internal/jobs/runs.py
+++ b/src/dewspindle/_internal/jobs/runs.py
@@ -107,14 +107,19 @@
             progress = stored.get_progress(position)
             if progress is not None:
                 known.append(progress.last_ended_attempt)
-        first = max(0, term - stored.message.accepted_term) * ATTEMPTS_PER_TERM
-        attempt = max(*known, first) + 1
-        if attempt > first + ATTEMPTS_PER_TERM:
+        last = get_last_attempt(stored.message.accepted_term, term=term)
+        attempt = max(*known, last - ATTEMPTS_PER_TERM) + 1
+        if attempt > last:
             return None
         self.attempt = attempt
         return attempt
 
 
+def get_last_attempt(accepted_term: int, *, term: int) -> int:
+    """Return the highest attempt number that a term may use for a job."""
+    return (max(0, term - accepted_term) + 1) * ATTEMPTS_PER_TERM
+
+
 class StepRun:
     """One step of one occurrence of a job."""
 
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from ..exceptions import DewspindleError
 from ..models.resources import NO_RESOURCES
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
@@ -113,6 +114,12 @@
                 await self._send_renewal()
             except WorkerReplacedError:
                 await self._handle_other_worker()
+            except DewspindleError:
+                raise  # Of the log or the leadership, on which all sessions depend.
+            except Exception:
+                logger.exception("answer of a worker not handled", worker=self._worker.id)
+                self._cursor.record_no_answer()
+                await self._handle_failed_renewal("its answer could not be handled")
 
     async def _handle_other_worker(self) -> None:
         """Handle a call that another worker has answered."""
@@ -293,6 +300,9 @@
 
     async def _apply_answer(self, answer: RenewalAnswer, *, sent_at: float) -> None:
         worker = self._worker
+        new = self._cursor.list_new(answer.ended)
+        # An answer whose ends cannot be committed counts as none, and changes nothing.
+        made = [(ended, self._make_end(ended)) for ended in new]
         if not worker.is_reachable:
             logger.info("worker reachable again", worker=worker.id)
         self._failed_renewals = 0
@@ -300,11 +310,11 @@
         worker.is_reachable = True
         worker.lapsed.clear()
         worker.born_ms = worker.born_ms or answer.born_ms
-        new = self._cursor.list_new(answer.ended)
-        ends = self._process_ended(new)
-        self._process_active(answer.active)
+        ends = self._process_ended(made)
+        are_all_handled = self._process_active(answer.active)
         self._check_capacity()
-        lost = [] if answer.is_incomplete else self._find_missing(answer, sent_at=sent_at)
+        is_complete = are_all_handled and not answer.is_incomplete
+        lost = self._find_missing(answer, sent_at=sent_at) if is_complete else []
         if new and was_reachable_and_reconciled:
             self._owner.wake_planner()
         await self._reporter.commit(ends)
@@ -351,38 +361,51 @@
                 placements=len(self._worker.placements),
             )
 
-    def _process_ended(self, new: list[EndedTask]) -> list[jobs_pb2.TaskEnd]:
-        ends: list[jobs_pb2.TaskEnd] = []
-        for ended in new:
+    def _process_ended(
+        self, made: list[tuple[EndedTask, jobs_pb2.TaskEnd | None]]
+    ) -> list[jobs_pb2.TaskEnd]:
+        for ended, _ in made:
             placement = self._worker.placements.get((ended.task, ended.attempt))
             if placement is not None:
                 self._worker.release(placement)
                 self._owner.record_listed_end(placement, ended.kind)
-            key = self._owner.find_key(ended.task)
-            if key is None:
-                continue
-            ends.append(
-                jobs_pb2.TaskEnd(
-                    job=key[0],
-                    position=key[1],
-                    attempt=ended.attempt,
-                    kind=ended.kind,
-                    checkpoint=ended.checkpoint,
-                )
-            )
-        return ends
+        return [end for _, end in made if end is not None]
 
-    def _process_active(self, active: list[ActiveTask]) -> None:
+    def _make_end(self, ended: EndedTask) -> jobs_pb2.TaskEnd | None:
+        """Return the end of an attempt, or None if no leader can have started it."""
+        key = self._owner.find_key(ended.task, ended.attempt)
+        if key is None:
+            return None
+        return jobs_pb2.TaskEnd(
+            job=key[0],
+            position=key[1],
+            attempt=ended.attempt,
+            kind=ended.kind,
+            checkpoint=ended.checkpoint,
+        )
+
+    def _process_active(self, active: list[ActiveTask]) -> bool:
+        """Process the running tasks, each by itself; return whether all could be handled."""
+        are_all_handled = True
         for task in active:
-            placement = self._worker.placements.get((task.task, task.attempt))
-            if placement is None:
-                self._owner.adopt_or_stop(self._worker, task)
-                continue
-            self._owner.record_running(placement)
-            if task.checkpoint:
-                self._owner.record_checkpoint(placement, task.checkpoint)
-            if task.processors is not None:
-                self._owner.record_usage(placement, task)
+            try:
+                self._process_running(task)
+            except Exception:
+                # The ends of the same answer are committed all the same.
+                logger.exception("running task not handled", worker=self._worker.id)
+                are_all_handled = False
+        return are_all_handled
+
+    def _process_running(self, task: ActiveTask) -> None:
+        placement = self._worker.placements.get((task.task, task.attempt))
+        if placement is None:
+            self._owner.adopt_or_stop(self._worker, task)
+            return
+        self._owner.record_running(placement)
+        if task.checkpoint:
+            self._owner.record_checkpoint(placement, task.checkpoint)
+        if task.processors is not None:
+            self._owner.record_usage(placement, task)
 
     def _find_missing(self, answer: RenewalAnswer, *, sent_at: float) -> list[Placement]:
         """Return placements that the worker should list but does not."""
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..exceptions import TooManyWorkersError
 from ..replication.replica import Replica
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
@@ -17,6 +18,9 @@
 from .fleet_worker import FleetWorker
 from .session import WorkerSession
 
+# Bounds what other writers of heartbeats can add to the cell state.
+MAX_WORKERS = 4096
+
 logger = get_logger(__name__)
 
 
@@ -143,6 +147,8 @@
         known = self._fleet.get(message.id)
         if known is not None:
             return known
+        if len(self._fleet) + len(self._recording) >= MAX_WORKERS:
+            raise TooManyWorkersError(f"{len(self._fleet)} workers are known, as many as allowed")
         recorded = self._recording[message.id] = anyio.Event()
         try:
             command = cell_pb2.Command(enlist_workers=jobs_pb2.EnlistWorkers(workers=[message]))
--- a/src/dewspindle/_internal/jobs/session_owner.py
+++ b/src/dewspindle/_internal/jobs/session_owner.py
@@ -14,8 +14,8 @@
 class SessionOwner(Protocol):
     """Callbacks of a session to the dispatcher."""
 
-    def find_key(self, task: TaskRef) -> JobTaskKey | None:
-        """Return the key of a task, or None if the task is unknown."""
+    def find_key(self, task: TaskRef, attempt: int) -> JobTaskKey | None:
+        """Return the key of a task, or None if no leader can have started such an attempt."""
 
     def adopt_or_stop(self, worker: FleetWorker, active: ActiveTask) -> None:
         """Adopt or stop a running task without a known placement."""
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -77,6 +77,7 @@
         wake_planner: Callable[[], None],
         remove_worker: Callable[[FleetWorker], Awaitable[None]],
         replay_heartbeat: Callable[[peers_pb2.WorkerBeat], None],
+        term: int,
     ) -> None:
         self._jobs = jobs
         self._fleet = fleet
@@ -89,6 +90,7 @@
         self._wake_planner = wake_planner
         self._remove_worker = remove_worker
         self._replay_heartbeat = replay_heartbeat
+        self._term = term
         self._observer = RunObserver(planner.interference, timers=timers)
 
     def wake_planner(self) -> None:
@@ -99,9 +101,12 @@
         """Remove a worker on which nothing runs any more."""
         await self._remove_worker(worker)
 
-    def find_key(self, task: TaskRef) -> JobTaskKey | None:
-        """Return the key of a task, or None if the task is unknown."""
-        return self._jobs.find_key(task)
+    def find_key(self, task: TaskRef, attempt: int) -> JobTaskKey | None:
+        """Return the key of a task, or None if no leader can have started such an attempt."""
+        key = self._jobs.find_key(task)
+        if key is None or not self._jobs.may_have_started(key, attempt, term=self._term):
+            return None
+        return key
 
     def record_running(self, placement: Placement) -> None:
         """Record that a worker has started a task, so that its job no longer counts as waiting."""
@@ -285,7 +290,7 @@
 
         Its capacity is reserved in both cases until its end is listed.
         """
-        key = self._jobs.find_key(active.task) or (active.task.job, UNKNOWN_POSITION)
+        key = self.find_key(active.task, active.attempt) or (active.task.job, UNKNOWN_POSITION)
         unit = self._jobs.find_unit(key)
         placement = Placement(
             key=key,
--- a/src/dewspindle/_internal/network/json_sender.py
+++ b/src/dewspindle/_internal/network/json_sender.py
@@ -25,7 +25,7 @@
     is_json = "json" in lowercase_headers.get("content-type", "")
     try:
         value = json.loads(content) if is_json else content
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ServerUnreachableError(f"{server}: the response is not valid JSON") from error
     return JsonResponse(status=status, headers=lowercase_headers, body=value)
 
--- a/src/dewspindle/_internal/network/pooled_client.py
+++ b/src/dewspindle/_internal/network/pooled_client.py
@@ -13,9 +13,23 @@
 from ..exceptions import ServerNotConnectedError, ServerUnreachableError
 from .json_sender import JsonResponse, make_response
 
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024  # A list of 500 ends takes some 50 KB.
 IDLE_CONNECTION_S = 60.0  # Longer than servers keep idle connections, so that servers close first.
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body; raise `ClientPayloadError` if it is larger than allowed."""
+    length = response.content_length
+    if length is not None and length <= MAX_RESPONSE_BYTES:
+        return await response.read()
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError(f"the body exceeds {MAX_RESPONSE_BYTES} bytes")
+    return bytes(body)
+
+
 class PooledJsonClient:
     """Sends JSON to any address over pooled connections."""
 
@@ -28,6 +42,7 @@
     ) -> JsonResponse:
         """Send a request; raise `ServerUnreachableError` if no complete response arrives.
 
+        A body above `MAX_RESPONSE_BYTES` counts as incomplete.
         Raises `ServerNotConnectedError` if the request was certainly not sent, and `TimeoutError`
         if the connection stayed open without a response in time.
         """
@@ -41,12 +56,14 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                response_body = await response.read()
+                response_body = await _read_body(response)
         except TimeoutError:
             raise
         except aiohttp.ClientConnectorError as error:
             raise ServerNotConnectedError(f"{address}: {error}") from None
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # The HTTP library raises `ValueError` for what it cannot send, such as a header with a
+            # control character.
             raise ServerUnreachableError(f"{address}: {error or type(error).__name__}") from None
         return make_response(
             address, status=response.status, headers=response.headers.items(), content=response_body
--- a/src/dewspindle/_internal/platform/advisor_client.py
+++ b/src/dewspindle/_internal/platform/advisor_client.py
@@ -6,7 +6,9 @@
 from ..jobs.gateway import Advice, AdvisorBusyError, NoDefiniteAnswerError
 from ..network.json_sender import JsonSender
 from ..utils.logs import get_logger
-from .fields import read_list, read_number
+from .fields import is_encodable, is_name, read_list, read_number
+
+MAX_TICKET_LENGTH = 4096  # Characters.
 
 logger = get_logger(__name__)
 
@@ -47,14 +49,19 @@
     return AdvisorClient(address, client) if address else None
 
 
+def is_ticket(value: Any) -> bool:
+    """Return whether a value is a string that can be handed to a worker."""
+    return isinstance(value, str) and len(value) <= MAX_TICKET_LENGTH and is_encodable(value)
+
+
 def decode_advice(fields: dict[str, Any]) -> Advice:
     """Return the approvals; skip malformed rows, which approve no worker."""
     tickets = {}
     is_incomplete = False
     try:
         for row in read_list(fields, "approved"):
-            if isinstance(row, list) and len(row) >= 2 and isinstance(row[0], str):
-                tickets[row[0]] = str(row[1])
+            if isinstance(row, list) and len(row) >= 2 and is_name(row[0]) and is_ticket(row[1]):
+                tickets[row[0]] = row[1]
             else:
                 logger.warning("malformed approval ignored", row=str(row)[:100])
                 is_incomplete = True
--- a/src/dewspindle/_internal/platform/control_app.py
+++ b/src/dewspindle/_internal/platform/control_app.py
@@ -9,7 +9,7 @@
 from ..utils.logs import get_logger
 from ..utils.timers import TimerService
 from .asgi import ClientDisconnectedError, Receive, Scope, Send, read_body, send_bytes, send_json
-from .heartbeats import decode_born_ms, decode_heartbeat
+from .heartbeats import check_worker_id, decode_born_ms, decode_heartbeat
 from .queue_table import NOT_CONFIGURED, READ_QUEUE_TABLE_PATH, decode_queue_table
 
 MAX_BODY_BYTES = 4 * 1024 * 1024  # Sufficient for a table with thousands of queues.
@@ -67,6 +67,7 @@
         await send_json(send, 200)
 
     async def _handle_deregistration(self, worker_id: str, body: bytes, send: Send) -> None:
+        check_worker_id(worker_id)
         worker = jobs_pb2.CalledWorker(id=worker_id, born_ms=decode_born_ms(body))
         await self._relay_heartbeat(peers_pb2.WorkerBeat(worker=worker, leaves=True))
         await send_json(send, 200)
--- a/src/dewspindle/_internal/platform/fields.py
+++ b/src/dewspindle/_internal/platform/fields.py
@@ -10,6 +10,7 @@
 T = TypeVar("T")
 
 MAX_UINT32 = 2**32 - 1  # Most integer fields of the schema messages are uint32.
+MAX_NAME_LENGTH = 255  # Characters of an id or a name that another program chooses.
 MAX_SAFE_INTEGER = 2**53  # JSON numbers, read as doubles, are exact up to this value.
 
 
@@ -28,6 +29,27 @@
     return value
 
 
+def read_name(fields: dict[str, Any], name: str) -> str:
+    """Return a string that may name something; raise `InvalidDocumentError` for anything else."""
+    value = read_text(fields, name)
+    if not is_name(value):
+        raise InvalidDocumentError(
+            f"field {name!r} is longer than {MAX_NAME_LENGTH} characters or not printable",
+            field=name,
+        )
+    return value
+
+
+def is_name(value: Any) -> bool:
+    """Return whether a value is a printable string of limited length."""
+    return isinstance(value, str) and len(value) <= MAX_NAME_LENGTH and value.isprintable()
+
+
+def is_header_name(value: Any) -> bool:
+    """Return whether a value is a name that an HTTP header can carry unchanged."""
+    return is_name(value) and value.isascii() and value != "" and " " not in value
+
+
 def is_encodable(text: str) -> bool:
     """Return whether a string is encodable in UTF-8; JSON may contain unpaired surrogates."""
     try:
@@ -41,7 +63,11 @@
     fields: dict[str, Any], name: str, *, default: int | None = None, limit: int = MAX_UINT32
 ) -> int:
     """Return an integer from 0 to a limit; raise `InvalidDocumentError` for anything else."""
-    value: Any = fields.get(name, default)
+    return check_uint(fields.get(name, default), name, limit=limit)
+
+
+def check_uint(value: Any, name: str, *, limit: int = MAX_SAFE_INTEGER) -> int:
+    """Return a value that is an integer from 0 to a limit; raise `InvalidDocumentError`."""
     is_whole = isinstance(value, int) or (isinstance(value, float) and value.is_integer())
     if isinstance(value, bool) or not is_whole or not 0 <= value <= limit:
         raise InvalidDocumentError(
@@ -52,7 +78,11 @@
 
 def read_number(fields: dict[str, Any], name: str, *, default: float | None = None) -> float:
     """Return a non-negative number; raise `InvalidDocumentError` for anything else."""
-    value = fields.get(name, default)
+    return check_number(fields.get(name, default), name)
+
+
+def check_number(value: Any, name: str) -> float:
+    """Return a value that is a number of limited size; raise `InvalidDocumentError` if not."""
     if (
         isinstance(value, bool)
         or not isinstance(value, int | float)
--- a/src/dewspindle/_internal/platform/heartbeats.py
+++ b/src/dewspindle/_internal/platform/heartbeats.py
@@ -6,9 +6,11 @@
 from ..utils.logs import get_logger
 from .fields import (
     MAX_SAFE_INTEGER,
-    is_encodable,
+    is_header_name,
+    is_name,
     parse_object,
     read_list,
+    read_name,
     read_object,
     read_text,
     read_uint,
@@ -17,12 +19,14 @@
 
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
+MAX_LABELS = 64
 
 logger = get_logger(__name__)
 
 
 def decode_heartbeat(worker_id: str, body: bytes) -> peers_pb2.WorkerBeat:
     """Decode and validate a heartbeat; raise `MalformedBodyError` or `InvalidDocumentError`."""
+    check_worker_id(worker_id)
     fields = parse_object(body)
     state = read_text(fields, "state")
     if state not in (STATE_READY, STATE_DRAINING):
@@ -33,17 +37,17 @@
     except ValueError as error:
         raise InvalidDocumentError(f"field 'address': {error}", field="address") from None
     labels = read_list(fields, "labels")
-    if not all(isinstance(label, str) and is_encodable(label) for label in labels):
+    if len(labels) > MAX_LABELS or not all(map(is_name, labels)):
         raise InvalidDocumentError(
-            "field 'labels' contains an entry that is not a string of valid Unicode",
+            f"field 'labels' has over {MAX_LABELS} entries, or one that is not a printable string",
             field="labels",
         )
     return peers_pb2.WorkerBeat(
         worker=jobs_pb2.CalledWorker(
             id=worker_id,
-            pool=read_text(fields, "service"),
+            pool=read_name(fields, "service"),
             address=address,
-            availability_zone=read_text(fields, "zone"),
+            availability_zone=read_name(fields, "zone"),
             capacity=decode_resources(read_object(fields, "capacity")),
             labels=labels,
             # The first label is the worker's kind, the second its rack.
@@ -58,6 +62,14 @@
     )
 
 
+def check_worker_id(worker_id: str) -> None:
+    """Raise `InvalidDocumentError` unless an id can be sent back to the worker in a header."""
+    if not is_header_name(worker_id):
+        raise InvalidDocumentError(
+            f"worker id {worker_id[:100]!r} is empty, too long or not printable ASCII", field="id"
+        )
+
+
 def decode_born_ms(body: bytes) -> int:
     """Return when the worker that deregisters started, 0 if the body does not tell.
 
--- a/src/dewspindle/_internal/platform/worker_client.py
+++ b/src/dewspindle/_internal/platform/worker_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the workers."""
 
+import re
 from functools import lru_cache
 from typing import Any
 
@@ -19,7 +20,7 @@
     WorkerNotConnectedError,
     WorkerReplacedError,
 )
-from ..models.ids import JobId
+from ..models.ids import JobId, is_valid_job_id
 from ..models.jobs import TaskRef
 from ..network.json_sender import JsonResponse, JsonSender
 from ..schema.jobs_pb2 import (
@@ -31,11 +32,20 @@
     END_STOPPED,
 )
 from ..utils.logs import get_logger
+from .fields import (
+    MAX_NAME_LENGTH,
+    MAX_SAFE_INTEGER,
+    check_number,
+    check_uint,
+    is_encodable,
+    is_header_name,
+)
 
 # The header identifies the worker's incarnation, not an instance of the scheduler.
 EXPECTED_INSTANCE_HEADER = "X-Dewspindle-Expected-Instance"
 CONNECTIONS_PER_WORKER = 8  # One long-polls for ended tasks; the others carry the starts of a gang.
 MAX_LISTED_ENDS = 500  # Maximum number of ended tasks in one response.
+MAX_CHECKPOINT_LENGTH = 65536  # Characters.
 # Each list names again every task that runs on its worker. Some 1,000 tasks run on a full fleet.
 PARSED_NAMES = 8192
 
@@ -55,6 +65,8 @@
     "alone": END_ALONE,
 }
 
+_NUMBER = re.compile(r"[0-9]{1,15}")
+
 logger = get_logger(__name__)
 
 
@@ -64,17 +76,18 @@
 
 
 @lru_cache(maxsize=PARSED_NAMES)
-def _parse_name(name: str) -> TaskRef:
-    job, occurrence, step, index = name.split(".")
-    return TaskRef(JobId(job), int(occurrence), int(step), int(index))
+def _parse_name(name: str) -> TaskRef | None:
+    job, *numbers = name.split(".")
+    is_valid = len(numbers) == 3 and all(map(_NUMBER.fullmatch, numbers)) and is_valid_job_id(job)
+    return TaskRef(JobId(job), *map(int, numbers)) if is_valid else None
 
 
 def parse_task_name(name: Any) -> TaskRef:
     """Parse the wire name of a task; raise `InvalidDocumentError` if it is malformed."""
-    try:
-        return _parse_name(name)
-    except (AttributeError, TypeError, ValueError):
-        raise InvalidDocumentError(f"malformed task name {name!r}", field="task") from None
+    task = _parse_name(name) if isinstance(name, str) and len(name) <= MAX_NAME_LENGTH else None
+    if task is None:
+        raise InvalidDocumentError(f"malformed task name {str(name)[:100]!r}", field="task")
+    return task
 
 
 class WorkerClient:
@@ -127,6 +140,9 @@
     async def _call(
         self, worker: WorkerEndpoint, path: str, body: dict[str, Any], timeout_s: float
     ) -> JsonResponse:
+        if not is_header_name(worker.id):
+            # An earlier version accepted such ids, so the cell state may hold one.
+            raise WorkerNotConnectedError(f"the id {worker.id[:100]!r} does not fit into a header")
         try:
             response = await self._client.post(
                 worker.address,
@@ -152,7 +168,9 @@
 
 def _get_integer(response: JsonResponse, field: str) -> int | None:
     value = response.body.get(field) if isinstance(response.body, dict) else None
-    return value if isinstance(value, int) and not isinstance(value, bool) else None
+    if not isinstance(value, int) or isinstance(value, bool):
+        return None
+    return value if 0 <= value <= MAX_SAFE_INTEGER else None
 
 
 def decode_order(response: JsonResponse) -> OrderAnswer:
@@ -197,22 +215,50 @@
 
 def _decode_active_task(row: Any) -> ActiveTask | None:
     try:
-        name, attempt, checkpoint, percent = row[:4]
+        name, attempt, checkpoint, percent, *rest = check_row(row, least=4)
         # The fifth field is the processor use in millicores. For a task of a long-running step it
         # is a response time instead, which the dispatcher ignores.
-        used = float(row[4]) if len(row) > 4 and row[4] is not None else None
-        return ActiveTask(parse_task_name(name), int(attempt), str(checkpoint), int(percent), used)
-    except (InvalidDocumentError, TypeError, ValueError) as error:
-        logger.warning("malformed running task ignored", row=str(row)[:100], why=str(error))
+        used = check_number(rest[0], "use") if rest and rest[0] is not None else None
+        return ActiveTask(
+            parse_task_name(name),
+            check_uint(attempt, "attempt"),
+            _choose_checkpoint(checkpoint),
+            check_uint(percent, "percent"),
+            used,
+        )
+    except InvalidDocumentError as error:
+        logger.warning("malformed running task ignored", row=str(row)[:100], why=error.detail)
         return None
 
 
 def _decode_ended_task(row: Any) -> EndedTask | None:
     try:
-        number, name, attempt, kind, checkpoint = row[:5]
+        number, name, attempt, kind, checkpoint, *_ = check_row(row, least=5)
+        if not isinstance(kind, str) or kind not in END_KINDS:
+            raise InvalidDocumentError("an unknown kind of end", field="how")
         return EndedTask(
-            int(number), parse_task_name(name), int(attempt), END_KINDS[kind], str(checkpoint)
+            check_uint(number, "number"),
+            parse_task_name(name),
+            check_uint(attempt, "attempt"),
+            END_KINDS[kind],
+            _choose_checkpoint(checkpoint),
         )
-    except (InvalidDocumentError, KeyError, TypeError, ValueError) as error:
-        logger.warning("malformed ended task ignored", row=str(row)[:100], why=str(error))
+    except InvalidDocumentError as error:
+        logger.warning("malformed ended task ignored", row=str(row)[:100], why=error.detail)
         return None
+
+
+def check_row(row: Any, *, least: int) -> list[Any]:
+    """Return a row with enough fields; raise `InvalidDocumentError` for anything else."""
+    if not isinstance(row, list) or len(row) < least:
+        raise InvalidDocumentError(f"a row is not a list of {least} fields", field="row")
+    return row
+
+
+def _choose_checkpoint(value: Any) -> str:
+    """Return a checkpoint, or an empty one if it cannot be kept; the task then begins anew."""
+    is_valid = isinstance(value, str) and len(value) <= MAX_CHECKPOINT_LENGTH
+    if is_valid and is_encodable(value):
+        return str(value)
+    logger.warning("malformed checkpoint ignored", checkpoint=repr(value)[:100])
+    return ""
--- a/src/dewspindle/_internal/utils/addresses.py
+++ b/src/dewspindle/_internal/utils/addresses.py
@@ -27,6 +27,8 @@
         raise ValueError(f"port {port} is not between 1 and {MAX_PORT}")
     host = host.removeprefix("[").removesuffix("]")
     try:
+        if "%" in host:
+            raise ValueError("a scope id")
         ipaddress.ip_address(host)
     except ValueError:
         raise ValueError(f"{host!r} is not an IP address") from None
