Let a worker crash after its job has been forgotten without ending the leader

A worker is not reached by calls for longer than ended jobs are kept, its task has run elsewhere and its job is forgotten; then it crashes, and its session asks for the crashes under the job.

Cause: OpenJobs.make_crash_history took each job of a lost task to be known. A task of a forgotten job has no history, and nothing is left to give up.

Test: features/crashes.feature, "A worker that crashes after its job has been forgotten ends no leader".

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -50,6 +50,14 @@
     And the cell runs for 20 seconds
     Then every accepted job succeeded
 
+  # It can't be reached meanwhile, but goes on sending heartbeats.
+  Scenario: A worker that crashes after its job has been forgotten ends no leader
+    Given a cell of 3 replicas whose leader sends orders to 6 workers
+    And a job of 1 tasks of 6 seconds
+    When the worker of the task gets no calls for 150 seconds and then crashes
+    And the cell runs for 20 seconds
+    Then no replica has ended
+
   # One after another, every worker crashes once; each task may meet more than one of the crashes.
   Scenario: Jobs succeed although all workers crash, two every 3 seconds
     Given a cell of 3 replicas whose leader sends orders to 6 workers
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -1,6 +1,7 @@
 from behave import given, then, when
 
 from dewspindle._internal.schema import jobs_pb2
+from features.lib.stepping import advance
 from features.steps.job_steps import (
     allocate_job_id,
     make_plan,
@@ -129,6 +130,30 @@
     context.run(cut_off())
 
 
+@when("the worker of the task gets no calls for {seconds:d} seconds and then crashes")
+def when_unreachable(context, seconds):
+    fleet = context.cell.fleet
+
+    def has_started():
+        return any(worker.runs for worker in fleet.workers)
+
+    context.run(context.cell.clock.advance_until(has_started, seconds=DISCOVERY_S))
+    worker = next(worker for worker in fleet.workers if worker.runs)
+    worker.gets_no_calls = True
+    advance(context, seconds)
+
+    async def crash():
+        fleet.replace(worker)
+
+    context.run(crash())
+
+
+@then("no replica has ended")
+def then_none_ended(context):
+    assert all(node.failure is None for node in context.cell.nodes), context.cell.describe()
+    assert context.cell.leader is not None
+
+
 @when("{count:d} workers crash every {seconds:d} seconds, {times:d} times")
 def when_workers_crash(context, count, seconds, times):
     fleet = context.cell.fleet
--- a/src/dewspindle/_internal/jobs/open_jobs.py
+++ b/src/dewspindle/_internal/jobs/open_jobs.py
@@ -51,9 +51,11 @@
         run = self._runs.get(key[0])
         return run.find_unit(key[1]) if run is not None else None
 
-    def make_crash_history(self, key: JobTaskKey, *, was_newest: bool) -> CrashHistory:
-        """Return the crashes under a task of a known job, together with one that is new."""
-        stored = self._store.jobs[key[0]]
+    def make_crash_history(self, key: JobTaskKey, *, was_newest: bool) -> CrashHistory | None:
+        """Return the crashes under a task, with one that is new; None if its job is forgotten."""
+        stored = self._store.jobs.get(key[0])
+        if stored is None:
+            return None
         return CrashHistory(
             crashes=stored.count_crashes(key[1]) + 1,
             crashes_as_newest=stored.count_crashes_as_newest(key[1]) + was_newest,
--- a/src/dewspindle/_internal/jobs/task_events.py
+++ b/src/dewspindle/_internal/jobs/task_events.py
@@ -205,6 +205,8 @@
     def _should_give_up(self, placement: Placement, *, was_newest: bool) -> bool:
         """Return whether a task is given up whose worker has crashed once more."""
         history = self._jobs.make_crash_history(placement.key, was_newest=was_newest)
+        if history is None:
+            return False
         gives_up = should_give_up(history)
         logger.warning(
             "worker crashed under task",
