Run a worker's session again after an unexpected error in place of ending the leader

Cause: sessions run in the task group of the dispatcher, so any error of one cancels all.

Change: an unexpected error is logged with the worker's id and its trace, and the session runs again after 2 s. Errors of the log or of the leadership still end the term.

Test: features/hostile_input.feature, "A worker whose departure cannot be handled". Without the change the leader ends with the error. Tasks that are placed on such a worker before it is known to be gone stay there: this bounds the harm, it does not mend what raised the error.

--- a/features/hostile_input.feature
+++ b/features/hostile_input.feature
@@ -110,6 +110,15 @@
       | running tasks |
       | ended tasks   |
 
+  Scenario: A worker whose departure cannot be handled ends no leader and holds up no later job
+    Given a cell of 3 replicas whose leader sends orders to 4 workers
+    When the departure of one worker cannot be handled, and it crashes
+    And the cell runs for 5 seconds
+    Given 5 jobs of 4 tasks over 5 seconds
+    When the cell runs for 30 seconds
+    Then every accepted job succeeded
+    And the same replica has led all the time
+
   Scenario: Other writers cannot record workers without a limit
     Given a cell of 3 replicas whose leader sends orders to 4 workers
     And a limit of 40 workers
--- a/features/steps/hostile_input_steps.py
+++ b/features/steps/hostile_input_steps.py
@@ -233,6 +233,26 @@
     context.closers.append(lambda: setattr(WorkerSession, name, handle))
 
 
+@when("the departure of one worker cannot be handled, and it crashes")
+def when_departure_fails(context):
+    worker = context.cell.fleet.workers[0]
+    remember_leader(context)
+    report = WorkerSession._report_gone
+
+    async def fail_for_one(session):
+        if session._worker.id == worker.id:
+            raise KeyError("job")
+        await report(session)
+
+    WorkerSession._report_gone = fail_for_one
+    context.closers.append(lambda: setattr(WorkerSession, "_report_gone", report))
+
+    async def crash():
+        context.cell.fleet.replace(worker)
+
+    context.run(crash())
+
+
 @then("the same replica has led all the time")
 def then_same_leader(context):
     leader = context.cell.leader
--- a/src/dewspindle/_internal/jobs/session_manager.py
+++ b/src/dewspindle/_internal/jobs/session_manager.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..exceptions import TooManyWorkersError
+from ..exceptions import DewspindleError, TooManyWorkersError
 from ..replication.replica import Replica
 from ..schema import cell_pb2, jobs_pb2, peers_pb2
 from ..utils.logs import get_logger
@@ -20,6 +20,7 @@
 
 # Bounds what other writers of heartbeats can add to the cell state.
 MAX_WORKERS = 4096
+SESSION_RETRY_DELAY_S = 2.0
 
 logger = get_logger(__name__)
 
@@ -77,7 +78,20 @@
         assert self._group is not None
         session = self._make_session(worker)
         self._sessions[worker.id] = session
-        self._group.start_soon(session.run)
+        self._group.start_soon(self._run_session, worker, session)
+
+    async def _run_session(self, worker: FleetWorker, session: WorkerSession) -> None:
+        """Run a session, again after an unexpected error, which concerns no other worker."""
+        while True:
+            try:
+                await session.run()
+            except DewspindleError:
+                raise  # Of the log or the leadership, on which all sessions depend.
+            except Exception:
+                logger.exception("session of a worker failed", worker=worker.id)
+                await self._timers.sleep(SESSION_RETRY_DELAY_S)
+            else:
+                return
 
     def wake(self, worker_id: str) -> None:
         """Wake the session of a worker."""
