Let a replica that ends hand its place to one that was started to replace it

A machine that is replaced as planned is asked to end some seconds after its successor has started. It falls silent long after that one came, so it kept its place for 8 s more, in which two lost disks end the cell.

Cause: silence was all that a leader knew of a voter. Its process knows more: it has been asked to end.

Change: on the signal a replica announces its end to the leader, after a transfer to the next one. A replica that was created within two catch-up times takes its place at once. A replica that has announced its end is not taken as a learner for 3 s, in which it would ask to join again.

Test: features/replacement.feature, "A machine that is replaced as planned": 2 of 2 fail without the rule; "A voter that restarts beside a spare replica keeps its place" guards the other side.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -57,6 +57,23 @@
       | 2    |
       | 3    |
 
+  # The new machine comes first, and the other one ends by a signal that it announces.
+  Scenario Outline: A machine that is replaced as planned loses its place to the new one before it has ended, <who>
+    Given a cell of 5 on the platform, with 20 changes
+    When a replica starts, and 1 s later <who> announces that it leaves and ends after 2 s
+    Then within 4 seconds of its start the successor is a voter instead of the lost one
+
+    Examples:
+      | who        |
+      | a follower |
+      | the leader |
+
+  Scenario: A voter that restarts beside a spare replica keeps its place
+    Given a cell of 5 on the platform, with 20 changes
+    And a spare replica that started 5 s ago
+    When the voters announce that they leave and start again one by one, 10 s later
+    Then after 8 seconds the cell has the same voters as before
+
   # A machine that runs again during the wait answers, so that only the other one is replaced.
   Scenario: Of two silent voters, the one that returns keeps its place when one successor comes
     Given a cell of 5 on the platform, with 20 changes
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -3,6 +3,7 @@
 
 from behave import given, then, when
 
+from dewspindle._internal.schema import peers_pb2
 from features.lib.job_cell import JobCell
 from features.lib.stepping import advance
 from features.steps.formation_steps import list_learners, list_voters, start, wait_until
@@ -244,6 +245,45 @@
     run_in_cell(context, paused.timers.resume)
 
 
+def announce_leaving(context, node):
+    """Let a replica announce that it ends, as its process does on SIGTERM."""
+
+    async def announce():
+        if node is context.cell.leader:
+            await node.replica.transfer_leadership()
+        while context.cell.leader in (None, node):
+            await node.timers.sleep(0.05)
+        request = peers_pb2.LeaveRequest(replica_id=node.replica.context.replica_id)
+        await context.cell.leader.job_leader_services.members.handle_leave(request)
+
+    async def run():
+        context.cell.start_soon(announce)
+        await context.cell.clock.advance(1.0)
+
+    context.run(run())
+
+
+@when("a replica starts, and 1 s later {who} announces that it leaves and ends after {seconds:d} s")
+def when_planned(context, who, seconds):
+    context.replacement = context.cell.add_node()
+    start(context, [context.replacement])
+    context.started_at = context.cell.clock.now
+    advance(context, 1)
+    context.lost = pick_nodes(context, who)[0]
+    announce_leaving(context, context.lost)
+    advance(context, seconds - 1)
+    run_in_cell(context, context.lost.kill)
+
+
+@when("the voters announce that they leave and start again one by one, 10 s later")
+def when_rolled(context):
+    advance(context, 10)
+    for node in [n for n in context.cell.nodes if n.address in context.voters]:
+        announce_leaving(context, node)
+        restart(context, [node], 1)
+        advance(context, 3)
+
+
 @then("after {seconds:d} seconds the cell has the same voters as before")
 def then_same_voters(context, seconds):
     advance(context, seconds)
--- a/src/dewspindle/_internal/job_replica.py
+++ b/src/dewspindle/_internal/job_replica.py
@@ -6,6 +6,7 @@
 
 from .cell import appliers  # noqa: F401  # Registers the command appliers.
 from .cell.view import CellView
+from .exceptions import DewspindleError
 from .http.server import HttpServer
 from .job_instance import LEADER_ATTEMPT_TIMEOUT_S, stop_servers
 from .jobs.advice_helper import AdviceHelper
@@ -21,9 +22,14 @@
 from .replication.formation import Formation
 from .replication.replica import Replica, load_context
 from .schema import peers_pb2, settings_pb2
+from .utils.logs import get_logger
 from .utils.metrics import Metrics
 from .utils.timers import TimerService
 
+LEAVE_TIMEOUT_S = 1.5  # An election, and the announcement to the next leader.
+
+logger = get_logger(__name__)
+
 
 class JobReplicaInstance:
     """A replica of the cell that accepts workers' heartbeats and the queue table, and may lead."""
@@ -165,6 +171,7 @@
                 with anyio.move_on_after(self._settings.drain_timeout_ms / 1000):
                     async with anyio.create_task_group() as closing:
                         closing.start_soon(self._replica.transfer_leadership)
+                        closing.start_soon(self._announce_leaving)
                         closing.start_soon(stop_servers, self._servers)
                 group.cancel_scope.cancel()
         finally:
@@ -175,6 +182,16 @@
                 await self._advice_helper.close()
                 self._replica.close()
 
+    async def _announce_leaving(self) -> None:
+        """Tell the leader, after a transfer the next one, that this replica ends."""
+        request = peers_pb2.LeaveRequest(replica_id=self._replica.context.replica_id)
+        try:
+            await self._leader.send(
+                methods.LEAVE, request, timeout_s=LEAVE_TIMEOUT_S, is_idempotent=True
+            )
+        except DewspindleError as error:
+            logger.info("departure not announced", why=str(error))
+
     async def _run_replica(self) -> None:
         await self._formation.run()
         async with anyio.create_task_group() as group:
--- a/src/dewspindle/_internal/jobs/leader_services.py
+++ b/src/dewspindle/_internal/jobs/leader_services.py
@@ -77,6 +77,7 @@
             (methods.RELAY_JOBS, self._relay_jobs),
             (methods.RELAY_HEARTBEAT, self._relay_heartbeat),
             (methods.READ_QUEUES, self._read_queues),
+            (methods.LEAVE, self._members.handle_leave),
         ):
             leader.register_local(method, handler)
             server.register(method, handler)
--- a/src/dewspindle/_internal/network/methods.py
+++ b/src/dewspindle/_internal/network/methods.py
@@ -50,4 +50,5 @@
 ADVISE = Method("Advise", peers_pb2.AdviseRequest, peers_pb2.AdviseAnswer, is_streamed=True)
 READ_QUEUES = Method("ReadQueues", peers_pb2.ReadQueueTableRequest, jobs_pb2.QueueTable)
 CALLS = Method("Calls", peers_pb2.CallFrame, peers_pb2.CallAnswerFrame)
+LEAVE = Method("Leave", peers_pb2.LeaveRequest, peers_pb2.LeaveAnswer)
 CHANGE_MEMBERS = Method("ChangeMembers", peers_pb2.ChangeMembersRequest, cell_pb2.Result)
--- a/src/dewspindle/_internal/replication/membership_manager.py
+++ b/src/dewspindle/_internal/replication/membership_manager.py
@@ -12,6 +12,8 @@
 from .succession import SilenceLimits, Successor, VoterContact, choose_lost_voter
 
 CHECK_INTERVAL_S = 0.1
+# After its announcement a replica has ended; then it may start again.
+LEAVING_S = 3.0
 MAX_PROMOTION_LAG = 200  # Entries by which a learner may lag when it becomes a voter.
 
 logger = get_logger(__name__)
@@ -29,6 +31,7 @@
         self._checked_at = float("-inf")
         # Since when this replica has led, and has run without a pause.
         self._watched_since = float("-inf")
+        self._left_at: dict[ReplicaId, float] = {}
         self._logged_waiting: tuple[tuple[str, ...], ...] = ()
 
     def _copy_membership(self) -> cell_pb2.Membership:
@@ -39,6 +42,8 @@
     async def handle_join(self, request: peers_pb2.JoinRequest) -> peers_pb2.JoinAnswer:
         """Add a replica as a learner unless it is a member already."""
         joining = request.replica
+        if self._is_leaving(joining):
+            raise NotLeaderError(f"{joining.instance_id} has announced that it ends")
         async with self._lock:
             # An uncommitted membership may still be rolled back by a new leader.
             self._replica.check_can_change_members()
@@ -56,6 +61,17 @@
                 logger.info("learner added", replica=joining.instance_id)
         return peers_pb2.JoinAnswer(accepted=True, cell_id=membership.cell_id)
 
+    async def handle_leave(self, request: peers_pb2.LeaveRequest) -> peers_pb2.LeaveAnswer:
+        """Record that the process of a replica ends; raise `NotLeaderError` if not the leader."""
+        self._replica.check_is_leader()
+        logger.info("replica leaves", replica=request.replica_id)
+        self._left_at[ReplicaId(request.replica_id)] = self._replica.context.timers.now()
+        return peers_pb2.LeaveAnswer()
+
+    def _is_leaving(self, member: cell_pb2.Voter) -> bool:
+        left_at = self._left_at.get(ReplicaId(member.replica_id), float("-inf"))
+        return self._replica.context.timers.now() - left_at < LEAVING_S
+
     async def handle_change(self, request: peers_pb2.ChangeMembersRequest) -> cell_pb2.Result:
         """Promote an instance's learner to voter, or remove an instance's replica."""
         async with self._lock:
@@ -104,6 +120,7 @@
         """
         timers = self._replica.context.timers
         self._watched_since = self._checked_at = timers.now()
+        self._left_at.clear()
         while True:
             await timers.sleep(CHECK_INTERVAL_S)
             self._notice_pause(timers.now())
@@ -159,7 +176,8 @@
             return False
         contacts = [self._make_contact(voter) for voter in membership.voters]
         limits = SilenceLimits(settings.replace_silent_ms / 1000, settings.catch_up_ms / 1000)
-        lost = choose_lost_voter(contacts, successors, limits)
+        now = self._replica.context.timers.now()
+        lost = choose_lost_voter(contacts, successors, limits, now=now)
         if lost is None:
             self._log_waiting(contacts, successors)
             return False
@@ -168,6 +186,7 @@
         logger.warning(
             "silent voter removed",
             instance=lost.voter.instance_id,
+            is_leaving=lost.is_leaving,
             silent_s=round(lost.silent_s, 3),
             watched_s=round(lost.watched_s, 3),
         )
@@ -228,6 +247,7 @@
             silent_s=self._get_silence_s(voter),
             watched_s=self._checked_at - self._watched_since,
             heard_at=self._get_heard_at(voter),
+            is_leaving=self._is_leaving(voter),
         )
 
     def _get_heard_at(self, member: cell_pb2.Voter) -> float | None:
--- a/src/dewspindle/_internal/replication/replica.py
+++ b/src/dewspindle/_internal/replication/replica.py
@@ -322,11 +322,15 @@
             logger.info("disk accepts writes again")
             context.is_disk_full = False
 
-    def check_can_change_members(self) -> None:
-        """Raise `NotLeaderError` unless it may act as leader and its membership is committed."""
+    def check_is_leader(self) -> Leadership:
+        """Return the leadership; raise `NotLeaderError` unless it may act as the leader."""
         if self._leadership is None or not self._leadership.may_act_as_leader:
             raise NotLeaderError("this replica is not the leader")
-        self._leadership.check_membership_committed()
+        return self._leadership
+
+    def check_can_change_members(self) -> None:
+        """Raise `NotLeaderError` unless it may act as leader and its membership is committed."""
+        self.check_is_leader().check_membership_committed()
 
     async def change_members(self, membership: cell_pb2.Membership) -> cell_pb2.Result:
         """Commit a membership that differs from the current one by one replica."""
--- a/src/dewspindle/_internal/replication/succession.py
+++ b/src/dewspindle/_internal/replication/succession.py
@@ -2,7 +2,7 @@
 
 Silence alone does not tell a voter that is gone for good from one that is frozen, cut off or
 restarting. A replica that was created shortly after a voter fell silent does, as machines are
-replaced by new ones.
+replaced by new ones. Where the new one comes first, the other tells that it ends.
 """
 
 from collections.abc import Sequence
@@ -15,6 +15,8 @@
 SILENT_SHARE = 0.3
 # A machine may still answer for a moment after its successor has started.
 OVERLAP_S = 1.0
+# In catch-up times, from the creation of a replica to the planned end of the one it replaces.
+PLANNED_FACTOR = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +27,7 @@
     silent_s: float  # 0 while it answers.
     watched_s: float  # For which this leader has sent to it; the leader before may have seen more.
     heard_at: float | None  # None if no leader has heard from it, as far as this one knows.
+    is_leaving: bool = False  # It has announced that its process ends.
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +55,11 @@
 
 
 def choose_lost_voter(
-    contacts: Sequence[VoterContact], successors: Sequence[Successor], limits: SilenceLimits
+    contacts: Sequence[VoterContact],
+    successors: Sequence[Successor],
+    limits: SilenceLimits,
+    *,
+    now: float,
 ) -> VoterContact | None:
     """Return the voter to replace by a successor that is ready, or None.
 
@@ -62,11 +69,30 @@
         return None
     # A connection that fell silent while another replica led may still have to be replaced.
     lost = [c for c in contacts if min(c.silent_s, c.watched_s) > limits.any_s]
+    if not lost and limits.catch_up_s:
+        lost = _list_leaving(contacts, successors, limits, now)
     if not lost and limits.catch_up_s:
         lost = _list_predecessors(contacts, successors, limits)
     return min(lost, key=lambda contact: contact.silent_s, default=None)
 
 
+def _list_leaving(
+    contacts: Sequence[VoterContact],
+    successors: Sequence[Successor],
+    limits: SilenceLimits,
+    now: float,
+) -> list[VoterContact]:
+    """Return the voters that end right after a replica was created, as it may replace them."""
+    created_after = now - PLANNED_FACTOR * limits.catch_up_s
+    is_planned = any(
+        successor.is_ready
+        and successor.created_at is not None
+        and successor.created_at >= created_after
+        for successor in successors
+    )
+    return [contact for contact in contacts if contact.is_leaving] if is_planned else []
+
+
 def _list_predecessors(
     contacts: Sequence[VoterContact], successors: Sequence[Successor], limits: SilenceLimits
 ) -> list[VoterContact]:
