Remove a voter only where most of the others answer, and send silences once a heartbeat

A voter that announces its end still answers, so the leader may need it: with two others silent, its removal leaves four voters of which two can answer. The removal applies once it is in the log, so it was never committed, and no leader could be elected until a silent one returned. And the list of silent replicas went with each request, some 40 bytes for a replica that is gone.

Change: a voter counts as replaceable only where more than half of the others have answered this leader within an election timeout. The list is sent once a heartbeat interval, also if it is empty.

Test: features/replacement.feature, "A voter that leaves keeps its place while two others are silent"; without the condition no change is committed.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -74,6 +74,13 @@
     When the voters announce that they leave and start again one by one, 10 s later
     Then after 8 seconds the cell has the same voters as before
 
+  # Without it, and without the silent ones, the rest could not commit its removal.
+  Scenario: A voter that leaves keeps its place while two others are silent
+    Given a cell of 5 on the platform, with 20 changes
+    And two followers that are cut off
+    When a replica starts, and 1 s later a follower announces that it leaves
+    Then the cell still commits changes
+
   # A machine that runs again during the wait answers, so that only the other one is replaced.
   Scenario: Of two silent voters, the one that returns keeps its place when one successor comes
     Given a cell of 5 on the platform, with 20 changes
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -275,6 +275,28 @@
     run_in_cell(context, context.lost.kill)
 
 
+@given("two followers that are cut off")
+def given_two_cut_off(context):
+    cell = context.cell
+    followers = list_followers(context)
+    for node in followers[2:]:
+        cell.network.isolate(node.address, [a for a in cell.addresses if a != node.address])
+    context.last_follower = followers[0]
+
+
+@when("a replica starts, and 1 s later a follower announces that it leaves")
+def when_last_leaves(context):
+    start(context, [context.cell.add_node()])
+    advance(context, 1)
+    announce_leaving(context, context.last_follower)
+
+
+@then("the cell still commits changes")
+def then_commits(context):
+    context.run(context.cell.put_many(["after"]))
+    assert "after" in context.cell.acknowledged, context.cell.describe()
+
+
 @when("the voters announce that they leave and start again one by one, 10 s later")
 def when_rolled(context):
     advance(context, 10)
--- a/src/dewspindle/_internal/replication/contacts.py
+++ b/src/dewspindle/_internal/replication/contacts.py
@@ -19,9 +19,11 @@
         """Record a request of the leader."""
         self._leader = ReplicaId(request.leader)
         self._leader_heard_at = now
-        self._silent_since = {
-            ReplicaId(silent.replica_id): now - silent.silent_s for silent in request.silent
-        }
+        if request.HasField("silent"):
+            self._silent_since = {
+                ReplicaId(silent.replica_id): now - silent.silent_s
+                for silent in request.silent.replicas
+            }
 
     def get_heard_at(self, replica_id: ReplicaId) -> float | None:
         """Return when a replica was last heard from, or None if no leader told."""
--- a/src/dewspindle/_internal/replication/membership_manager.py
+++ b/src/dewspindle/_internal/replication/membership_manager.py
@@ -245,11 +245,20 @@
         return VoterContact(
             voter,
             silent_s=self._get_silence_s(voter),
+            is_answering=self._is_answering(voter),
             watched_s=self._checked_at - self._watched_since,
             heard_at=self._get_heard_at(voter),
             is_leaving=self._is_leaving(voter),
         )
 
+    def _is_answering(self, member: cell_pb2.Voter) -> bool:
+        context, leadership = self._replica.context, self._replica.leadership
+        if member.replica_id == context.replica_id:
+            return True
+        link = leadership.links.get(ReplicaId(member.replica_id)) if leadership else None
+        oldest = context.timers.now() - context.election_timeout_s
+        return link is not None and link.confirmed_at > oldest
+
     def _get_heard_at(self, member: cell_pb2.Voter) -> float | None:
         leadership = self._replica.leadership
         return leadership.get_heard_at(ReplicaId(member.replica_id)) if leadership else None
--- a/src/dewspindle/_internal/replication/peer_link.py
+++ b/src/dewspindle/_internal/replication/peer_link.py
@@ -29,6 +29,7 @@
         self._echo_clock_s = 0.0  # Clock of the peer in its last answer; 0 before the first one.
         self._quorum_confirmed_at = float("-inf")
         self._silent_since: dict[ReplicaId, float] = {}
+        self._silent_sent_at = float("-inf")
         self._created_at: float | None = None
         self._reachable = True
 
@@ -143,10 +144,7 @@
             age_s=max(0.0, min(now - self._quorum_confirmed_at, 1e9)),
             leader_instance=context.settings.instance_id,
             leader_address=context.settings.peer_address,
-            silent=[
-                peers_pb2.SilentReplica(replica_id=replica_id, silent_s=now - since)
-                for replica_id, since in self._silent_since.items()
-            ],
+            silent=self._list_silent(now),
         )
         answer = await self._send_append(request)
         self._sent_commit_index = request.commit_index
@@ -160,6 +158,16 @@
         self._record_match(answer.last_index)
         return False
 
+    def _list_silent(self, now: float) -> peers_pb2.SilentReplicas | None:
+        """Return the silent replicas, or None if they were sent just now."""
+        if now < self._silent_sent_at + self._context.heartbeat_interval_s:
+            return None
+        self._silent_sent_at = now
+        silent = peers_pb2.SilentReplicas()
+        for replica_id, since in self._silent_since.items():
+            silent.replicas.add(replica_id=replica_id, silent_s=now - since)
+        return silent
+
     async def _send_append(self, request: peers_pb2.AppendRequest) -> peers_pb2.AppendAnswer:
         context = self._context
         try:
--- a/src/dewspindle/_internal/replication/succession.py
+++ b/src/dewspindle/_internal/replication/succession.py
@@ -24,7 +24,8 @@
     """What the leader knows of a voter."""
 
     voter: cell_pb2.Voter
-    silent_s: float  # 0 while it answers.
+    silent_s: float  # 0 for up to an election timeout.
+    is_answering: bool  # To this leader, within an election timeout.
     watched_s: float  # For which this leader has sent to it; the leader before may have seen more.
     heard_at: float | None  # None if no leader has heard from it, as far as this one knows.
     is_leaving: bool = False  # It has announced that its process ends.
@@ -67,6 +68,7 @@
     """
     if not any(successor.is_ready for successor in successors):
         return None
+    contacts = [contact for contact in contacts if _leaves_quorum(contact, contacts)]
     # A connection that fell silent while another replica led may still have to be replaced.
     lost = [c for c in contacts if min(c.silent_s, c.watched_s) > limits.any_s]
     if not lost and limits.catch_up_s:
@@ -76,6 +78,12 @@
     return min(lost, key=lambda contact: contact.silent_s, default=None)
 
 
+def _leaves_quorum(removed: VoterContact, contacts: Sequence[VoterContact]) -> bool:
+    """Return whether enough of the other voters answer to commit the removal of one."""
+    others = [contact for contact in contacts if contact is not removed]
+    return 2 * sum(contact.is_answering for contact in others) > len(others)
+
+
 def _list_leaving(
     contacts: Sequence[VoterContact],
     successors: Sequence[Successor],
