Move the checks of a worker's capacity out of its session

Nothing changes in what is logged; the scenarios of capacity, replacement, hostile input and job faults pass as before. Two pairs of steps share a function each.

--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -192,12 +192,8 @@
 
 
 @when("{who} pauses for {seconds:g} s")
-def when_paused(context, who, seconds):
-    pause(context, pick_nodes(context, who), seconds)
-
-
 @when("{who} pause for {seconds:g} s")
-def when_all_paused(context, who, seconds):
+def when_paused(context, who, seconds):
     pause(context, pick_nodes(context, who), seconds)
 
 
@@ -207,12 +203,8 @@
 
 
 @when("{who} restarts after {seconds:g} s")
-def when_restarted(context, who, seconds):
-    restart(context, pick_nodes(context, who), seconds)
-
-
 @when("{who} restart after {seconds:g} s")
-def when_all_restarted(context, who, seconds):
+def when_restarted(context, who, seconds):
     restart(context, pick_nodes(context, who), seconds)
 
 
--- a/src/dewspindle/_internal/jobs/session.py
+++ b/src/dewspindle/_internal/jobs/session.py
@@ -5,10 +5,10 @@
 import anyio
 
 from ..exceptions import DewspindleError
-from ..models.resources import NO_RESOURCES
 from ..schema import jobs_pb2
 from ..utils.logs import get_logger
 from ..utils.timers import Signal, TimerService, wait_for_event
+from .capacity_check import CapacityCheck
 from .end_cursor import EndCursor
 from .end_reporter import EndReporter
 from .fleet_worker import FleetWorker
@@ -82,7 +82,7 @@
         self._failed_renewals = 0  # Consecutive ones.
         self._skip_wait = False
         self._renewal_scope: anyio.CancelScope | None = None
-        self._is_over_capacity = False
+        self._capacity_check = CapacityCheck(worker, owner)
 
     def wake(self) -> None:
         """Check the state of the worker again."""
@@ -312,7 +312,7 @@
         worker.born_ms = worker.born_ms or answer.born_ms
         ends = self._process_ended(made)
         are_all_handled = self._process_active(answer.active)
-        self._check_capacity()
+        self._capacity_check.check()
         is_complete = are_all_handled and not answer.is_incomplete
         lost = self._find_missing(answer, sent_at=sent_at) if is_complete else []
         if new and was_reachable_and_reconciled:
@@ -321,7 +321,7 @@
         self._owner.apply_ends(ends)
         # Only now are the ends of tasks that an earlier leader started here committed.
         if not worker.is_reconciled:
-            self._compare_reserved(answer)
+            self._capacity_check.compare_reserved(answer.active)
         worker.is_reconciled = True
         if not was_reachable_and_reconciled:
             self._owner.wake_planner()
@@ -330,37 +330,6 @@
             logger.info("placed tasks not listed by worker", worker=worker.id, count=len(lost))
             await self._report_lost(lost)
 
-    def _compare_reserved(self, answer: RenewalAnswer) -> None:
-        """Log a difference between the reserved capacity and what the listed tasks take."""
-        running = self._owner.measure_running(answer.active)
-        reserved = self._worker.capacity - self._worker.free
-        if running == reserved:
-            return
-        logger.warning(
-            "reserved capacity differs from running tasks",
-            worker=self._worker.id,
-            running=len(answer.active),
-            running_processors=running.processors,
-            running_memory_mb=running.memory_mb,
-            reserved_processors=reserved.processors,
-            reserved_memory_mb=reserved.memory_mb,
-        )
-
-    def _check_capacity(self) -> None:
-        """Log once that the tasks on the worker exceed a capacity that has not shrunk."""
-        free = self._worker.free
-        was_over_capacity = self._is_over_capacity
-        self._is_over_capacity = not NO_RESOURCES.fits_in(free)
-        if self._is_over_capacity and not was_over_capacity and not self._worker.is_overfull:
-            logger.error(
-                "worker over capacity",
-                worker=self._worker.id,
-                free_processors=free.processors,
-                free_memory_mb=free.memory_mb,
-                free_accelerators=free.accelerators,
-                placements=len(self._worker.placements),
-            )
-
     def _process_ended(
         self, made: list[tuple[EndedTask, jobs_pb2.TaskEnd | None]]
     ) -> list[jobs_pb2.TaskEnd]:
