Let the soak send what other writers may send

Heartbeats and deregistrations with ids that no header can carry, missing fields and values out of range go to the replicas as real processes, and one answer of workers in twenty has rows that cannot be read. Both are drawn apart, so the seeds play the faults that they played before.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -18,6 +18,7 @@
 from .faults import FAULTS, let_worker_leave
 from .programs import CLIENT_PORT, CONTROL_PORT, Program
 from .proxy import Proxy
+from .strangers import send_heartbeats
 from .teams import CAPS, WITHDRAWAL_LIMIT_S, Teams
 from .workers import HttpAdvisor, HttpFleet, RealClock
 
@@ -51,6 +52,7 @@
         self._resize_rng = random.Random(f"{seed}-resize")
         self._key_rng = random.Random(f"{seed}-keys")
         self._leave_rng = random.Random(f"{seed}-leave")
+        self._stranger_rng = random.Random(f"{seed}-strangers")
         self._group: TaskGroup | None = None
         self._replica_lock = anyio.Lock()
         self.clock = RealClock()
@@ -151,6 +153,7 @@
             group.start_soon(self._resize_workers, ends_at)
             group.start_soon(self._withdraw_keys, ends_at)
             group.start_soon(self._remove_workers, ends_at)
+            group.start_soon(self._send_strange_heartbeats, ends_at)
             while self.clock.now < ends_at:
                 name = self._rng.choice(sorted(FAULTS))
                 rng = random.Random(self._rng.getrandbits(32))
@@ -177,6 +180,12 @@
             self.fault_counts["worker-leave"] += 1
             await let_worker_leave(self, self._leave_rng)
 
+    async def _send_strange_heartbeats(self, ends_at: float) -> None:
+        """Send what other writers may send, from which no worker is to be used."""
+        addresses = [host.proxy.address for host in self.fleet.hosts]
+        with anyio.move_on_after(ends_at - self.clock.now):
+            await send_heartbeats(self.control_addresses, addresses, self._stranger_rng)
+
     async def _withdraw_keys(self, ends_at: float) -> None:
         """Withdraw one key after another, each for longer than requests may still succeed."""
         while self.clock.now < ends_at:
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -44,6 +44,7 @@
 from features.lib.called_fleet import CalledFleet, CalledWorker
 
 from .proxy import Proxy
+from .strangers import add_bad_rows
 
 HEARTBEAT_REQUEST_TIMEOUT_S = 1.0
 LATE_DELIVERY_S = 3.0  # Delay before an unanswered order is executed.
@@ -133,7 +134,7 @@
             renewal_answer = await worker.renew_lease(order)
             if renewal_answer.outcome is not OrderOutcome.ACCEPTED:
                 return 409, {"reason": REJECTION_NAMES[renewal_answer.outcome]}
-            return 200, {
+            body = {
                 "born": renewal_answer.born_ms,
                 "active": [
                     [make_task_name(t.task), t.attempt, "", 100] for t in renewal_answer.active
@@ -143,6 +144,8 @@
                     for e in renewal_answer.ended
                 ],
             }
+            add_bad_rows(body, self._fleet.row_rng)
+            return 200, body
         task = parse_task_name(fields["task"])
         answer: OrderAnswer
         if path == "/run-start":
@@ -171,6 +174,7 @@
     def __init__(self, cell: Any, *, size: int, seed: int) -> None:
         super().__init__(cell, size=size)
         self.rng = random.Random(seed)
+        self.row_rng = random.Random(f"{seed}-rows")
         # Worker, task and attempt of the starts that a worker executed late.
         self.late_starts: set[tuple[str, TaskRef, int]] = set()
         self.hosts = [WorkerHost(self, number) for number in range(size)]
