Let a new replica join without waiting for a peer that is frozen

A new replica asks all replicas that it knows for the cell, and went on only once each had answered or failed. A frozen one fails after 2 s in each round, half of the catch-up time.

Change: the round ends with the answer of the leader, and after 1 s on a replica that can only join. A replica that may form a cell still waits for the others, for 5 s at most.

Test: features/formation.feature, "A new replica joins within 2 seconds although a seed is frozen". Failed before.

--- a/features/formation.feature
+++ b/features/formation.feature
@@ -43,6 +43,11 @@
     When a voter is partitioned until a replacement is a voter, and the partition then ends
     Then within 20 seconds the former voter is a learner that has every change
 
+  Scenario: A new replica joins within 2 seconds although a seed is frozen
+    Given a cell of 5 formed through seeds, with 20 changes
+    When a seed freezes and a new replica starts
+    Then within 2 seconds the new replica is a learner
+
   # It must not count under its old replica id, as it no longer has the entries that it acknowledged.
   Scenario: A voter that lost its data folder rejoins at its old address as a new replica
     Given a cell of 5 formed through seeds, with 20 changes
--- a/features/steps/formation_steps.py
+++ b/features/steps/formation_steps.py
@@ -192,6 +192,22 @@
     cell.network.heal()
 
 
+@when("a seed freezes and a new replica starts")
+def when_seed_freezes(context):
+    seed = next(n for n in context.cell.nodes[:3] if n is not context.cell.leader)
+    seed.timers.pause()
+    context.cell.node_flags["may_form"] = "0"
+    context.replacement = context.cell.add_node()
+    start(context, [context.replacement])
+
+
+@then("within {seconds:d} seconds the new replica is a learner")
+def then_new_learner(context, seconds):
+    assert wait_until(
+        context, lambda: context.replacement.address in list_learners(context), seconds
+    )
+
+
 @then("within {seconds:d} seconds the former voter is a learner that has every change")
 def then_learner(context, seconds):
     def has_joined():
--- a/src/dewspindle/_internal/replication/formation.py
+++ b/src/dewspindle/_internal/replication/formation.py
@@ -1,6 +1,7 @@
 """Formation of a new cell, and joining an existing one with an empty data folder."""
 
 from collections import Counter
+from contextlib import suppress
 
 import anyio
 
@@ -16,6 +17,8 @@
 from .transport import PeerUnreachableError
 
 RETRY_DELAY_S = 0.2
+FORM_QUERY_S = 5.0  # For all answers to one round; a cell is formed of those that answer.
+JOIN_QUERY_S = 1.0  # A replica that only joins does not wait for one that is frozen.
 # Consecutive rounds in which enough replicas answered before a cell is formed, so that replicas of
 # more zones are known.
 SUFFICIENT_ROUNDS_BEFORE_FORMING = 2
@@ -67,14 +70,24 @@
                 await self._context.timers.sleep(RETRY_DELAY_S)
 
     async def _query_peers(self) -> dict[str, peers_pb2.HelloAnswer]:
-        """Return the answers of the reachable peers by instance id."""
+        """Return the answers of the reachable peers by instance id.
+
+        Once the leader has answered, the others are not waited for.
+        """
         answers: dict[str, peers_pb2.HelloAnswer] = {}
-        async with anyio.create_task_group() as group:
-            for address in self._address_book.other_replica_addresses:
-                group.start_soon(self._query_peer, address, answers)
+        limit_s = FORM_QUERY_S if self._context.settings.may_form else JOIN_QUERY_S
+        with suppress(TimeoutError), self._context.timers.fail_after(limit_s):
+            async with anyio.create_task_group() as group:
+                for address in self._address_book.other_replica_addresses:
+                    group.start_soon(self._query_peer, address, answers, group.cancel_scope)
         return answers
 
-    async def _query_peer(self, address: str, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
+    async def _query_peer(
+        self,
+        address: str,
+        answers: dict[str, peers_pb2.HelloAnswer],
+        round_scope: anyio.CancelScope,
+    ) -> None:
         request = self._context.make_hello_request()
         try:
             answer = await self._context.transport.say_hello(address, request)
@@ -83,6 +96,8 @@
             return
         self._address_book.add(answer.replicas)
         answers[answer.instance_id] = answer
+        if answer.leads and answer.phase == peers_pb2.PHASE_MEMBER:
+            round_scope.cancel()
 
     async def _join_or_form(self, answers: dict[str, peers_pb2.HelloAnswer]) -> None:
         members = [a for a in answers.values() if a.phase == peers_pb2.PHASE_MEMBER]
