Let a voter that was removed for another one take the place of the one that is gone

Nothing tells which of the two the new replica replaces. If the frozen one was removed, it returned as a learner, and the one that is gone kept its place for 8 s.

Change: the leader remembers for which new replica it removed a voter. If that voter joins again, it was the wrong one, and it succeeds the other one as that new replica would.

Test: features/replacement.feature, "A lost voter is replaced by a voter that was taken for it and returns". Failed before; now both are voters within 4 s of the return.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -57,6 +57,12 @@
       | 2    |
       | 3    |
 
+  # Nothing tells which of the two is gone, until one returns.
+  Scenario: A lost voter is replaced by a voter that was taken for it and returns
+    Given a cell of 5 on the platform, with 20 changes
+    When a follower pauses for 3.2 s, another one is lost permanently at once and a successor starts
+    Then within 4 seconds both the successor and the paused replica are voters, and the lost one is not
+
   # The new machine comes first, and the other one ends by a signal that it announces.
   Scenario Outline: A machine that is replaced as planned loses its place to the new one before it has ended, <who>
     Given a cell of 5 on the platform, with 20 changes
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -298,6 +298,33 @@
         advance(context, 3)
 
 
+@when(
+    "a follower pauses for {seconds:g} s, another one is lost permanently at once "
+    "and a successor starts"
+)
+def when_other_pauses(context, seconds):
+    context.lost, paused = list_followers(context)[:2]
+    paused.timers.pause()
+    advance(context, 0.3)
+    lose(context, context.lost)
+    advance(context, 0.2)
+    successor = context.cell.add_node()
+    start(context, [successor])
+    advance(context, seconds - 0.5)
+    run_in_cell(context, paused.timers.resume)
+    context.successors = [successor, paused]
+    context.both_lost = [context.lost]
+    context.started_at = context.cell.clock.now
+
+
+@then(
+    "within {seconds:d} seconds both the successor and the paused replica are voters, "
+    "and the lost one is not"
+)
+def then_both_voters(context, seconds):
+    check_replaced(context, context.both_lost, context.successors, context.started_at + seconds)
+
+
 @then("after {seconds:d} seconds the cell has the same voters as before")
 def then_same_voters(context, seconds):
     advance(context, seconds)
--- a/src/dewspindle/_internal/replication/membership_manager.py
+++ b/src/dewspindle/_internal/replication/membership_manager.py
@@ -32,6 +32,7 @@
         # Since when this replica has led, and has run without a pause.
         self._watched_since = float("-inf")
         self._left_at: dict[ReplicaId, float] = {}
+        self._removed_for: dict[ReplicaId, float] = {}
         self._logged_waiting: tuple[tuple[str, ...], ...] = ()
 
     def _copy_membership(self) -> cell_pb2.Membership:
@@ -121,6 +122,7 @@
         timers = self._replica.context.timers
         self._watched_since = self._checked_at = timers.now()
         self._left_at.clear()
+        self._removed_for.clear()
         while True:
             await timers.sleep(CHECK_INTERVAL_S)
             self._notice_pause(timers.now())
@@ -183,6 +185,7 @@
             return False
         membership.voters.remove(lost.voter)
         await self._replica.change_members(membership)
+        self._record_removed(lost, successors)
         logger.warning(
             "silent voter removed",
             instance=lost.voter.instance_id,
@@ -192,6 +195,15 @@
         )
         return True
 
+    def _record_removed(self, lost: VoterContact, successors: Sequence[Successor]) -> None:
+        """Remember for which new replica a voter was removed, in case it was the wrong voter.
+
+        If it returns, another one is gone, and it takes the place of that one in the same way.
+        """
+        created_at = [s.created_at for s in successors if s.created_at is not None]
+        if created_at and not lost.is_leaving:
+            self._removed_for[ReplicaId(lost.voter.replica_id)] = max(created_at)
+
     async def _promote_successor(self, successor: Successor) -> None:
         await self._promote(successor.learner.instance_id)
         now, created_at = self._replica.context.timers.now(), successor.created_at
@@ -215,9 +227,11 @@
         ]
 
     def _get_created_at(self, member: cell_pb2.Voter) -> float | None:
-        leadership = self._replica.leadership
-        link = leadership.links.get(ReplicaId(member.replica_id)) if leadership else None
-        return link.created_at if link else None
+        """Return when a replica, or the one that it was removed for, was created."""
+        replica_id, leadership = ReplicaId(member.replica_id), self._replica.leadership
+        link = leadership.links.get(replica_id) if leadership else None
+        created_at = link.created_at if link else None
+        return self._removed_for.get(replica_id) if created_at is None else created_at
 
     def _log_waiting(
         self, contacts: Sequence[VoterContact], successors: Sequence[Successor]
