Count an unexpected error of a call to the advisor as no answer

The strict decoder of advice was the only line between an unexpected error and the leader, which calls the advisor itself, too. Found by reading.

Test: features/hostile_input.feature, "A call to the advisor that fails with an unexpected error". Before, the error reached the task group of the dispatcher.

--- a/features/hostile_input.feature
+++ b/features/hostile_input.feature
@@ -72,6 +72,11 @@
     When the advisor answers with ids and tickets that cannot be encoded and a valid one
     Then only the valid row approves a worker
 
+  # The leader calls the advisor itself, too.
+  Scenario: A call to the advisor that fails with an unexpected error is one without an answer
+    Given an advisor whose calls fail with an unexpected error
+    Then a request for advice fails as server-unreachable
+
   # Each leader would transfer its leadership, as no number would be left for the next attempt.
   Scenario: An end whose attempt no leader can have started does not use up the attempts of a task
     Given a cell of 3 replicas whose leader sends orders to 4 workers
--- a/features/steps/hostile_input_steps.py
+++ b/features/steps/hostile_input_steps.py
@@ -9,6 +9,7 @@
 
 from dewspindle._internal.exceptions import DewspindleError
 from dewspindle._internal.jobs import session_manager
+from dewspindle._internal.jobs.advice_helper import AdviceHelper
 from dewspindle._internal.jobs.gateway import (
     ActiveTask,
     EndedTask,
@@ -174,6 +175,25 @@
     context.advice = decode_advice({"approved": rows, "validity_ms": 1500})
 
 
+@given("an advisor whose calls fail with an unexpected error")
+def given_failing_advisor(context):
+    advisor = mock.Mock()
+    advisor.advise = mock.AsyncMock(side_effect=OverflowError("value out of range"))
+    context.advice_helper = AdviceHelper(advisor)
+
+
+@then("a request for advice fails as {code}")
+def then_advice_fails(context, code):
+    async def ask():
+        try:
+            await context.advice_helper.answer(peers_pb2.AdviseRequest(job="a", workers=["i-1"]))
+        except DewspindleError as error:
+            return error.code
+        return ""
+
+    assert context.run(ask()) == code
+
+
 def patch_renewals(context, change):
     """Change each answer of the first worker to a lease renewal."""
     worker = context.cell.fleet.workers[0]
--- a/src/dewspindle/_internal/jobs/advice_helper.py
+++ b/src/dewspindle/_internal/jobs/advice_helper.py
@@ -4,8 +4,11 @@
 from ..network import methods
 from ..network.peer_server import PeerServer
 from ..schema import peers_pb2
+from ..utils.logs import get_logger
 from .gateway import AdvisorBusyError, AdvisorGateway, NoDefiniteAnswerError
 
+logger = get_logger(__name__)
+
 
 class AdviceHelper:
     """Answers requests to call the advisor from this instance."""
@@ -38,6 +41,11 @@
             return peers_pb2.AdviseAnswer(busy=True)
         except NoDefiniteAnswerError as error:
             raise ServerUnreachableError(str(error)) from None
+        except MemoryError:
+            raise
+        except Exception as error:
+            logger.exception("call to the advisor failed", job=request.job)
+            raise ServerUnreachableError(f"unexpected {type(error).__name__}") from error
         answer = peers_pb2.AdviseAnswer(
             validity_ms=int(advice.validity_s * 1000), incomplete=advice.is_incomplete
         )
