Review: a case of silent connections to executors

Shows that after the open connections to executors went silent, a sound executor that answers on new ones gets no call for some 18 s, as each call is sent on the next silent connection: its lease lapses, and a lasting task waits 14.7 s for its restart, where 9 s are allowed.

Run with review/15/run.sh, then its number, five times in copies of the tree, three at a time, and once with TROUBLE=0, beside other runs on an 8-core x86-64 machine. It failed 5 of 5 times and passed without the silence.

--- a/review/harness3/executor.py
+++ b/review/harness3/executor.py
@@ -7,7 +7,7 @@
 
 Signals disturb it: after SIGUSR1 it leaves the next lease renewal unanswered and carries it out
 `late_s` later; after SIGUSR2 all that it starts within `grey_s` fails; after SIGHUP all that it
-runs fails, as tasks that last may at any time.
+runs fails, as tasks that last may at any time; after SIGWINCH its open connections are silent.
 """
 
 import asyncio
@@ -227,6 +227,7 @@
     """Serve until killed."""
     executor = Executor(config)
     server = HttpServer(executor.handle)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGWINCH, server.silence)
     await server.start(config["address"])
     await executor.send_heartbeats()
 
--- a/review/harness3/http_io.py
+++ b/review/harness3/http_io.py
@@ -35,6 +35,11 @@
     def __init__(self, handle: Handler) -> None:
         self._handle = handle
         self._server: asyncio.Server | None = None
+        self._silences = 0
+
+    def silence(self) -> None:
+        """Answer nothing more on the connections that are open now; new ones work."""
+        self._silences += 1
 
     async def start(self, address: str) -> None:
         """Listen on an address."""
@@ -42,13 +47,18 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        silences = self._silences
         try:
             while True:
                 first, headers = await _read_headers(reader)
                 method, path, _ = first.split(" ", 2)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
+                if silences != self._silences:
+                    await asyncio.Event().wait()  # As if the request had not arrived.
                 status, answer = await self._handle(Request(method, path, headers, body))
                 content = json.dumps(answer).encode()
+                if silences != self._silences:
+                    await asyncio.Event().wait()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                     f"Content-Length: {len(content)}\r\n\r\n".encode()
