Review: end each process that a case has started, also replaced ones

The lab kept only the newest process of a machine. The cases end a process before they start its successor, so none was left over by them; trials with the same lab had left some.

--- a/review/harness3/lab.py
+++ b/review/harness3/lab.py
@@ -115,6 +115,7 @@
         self.bootstrap = True
         self.programs: dict[str, Process] = {}
         self.executors: dict[str, Process] = {}
+        self._processes: list[Process] = []  # All that were started, also those replaced since.
         self._lives: dict[str, int] = {}
         self.version = 0
 
@@ -177,6 +178,7 @@
         env["DEWSPINDLE_NODE_FILE"] = str(self._write_settings(name, ip, role))
         program = Process(command, env, self.folder / f"{name}.log")
         self.programs[name] = program
+        self._processes.append(program)
         program.start()
         return program
 
@@ -239,6 +241,7 @@
         command = [sys.executable, str(HERE / "executor.py"), str(path)]
         process = Process(command, dict(os.environ), self.folder / f"{executor_id}.log")
         self.executors[machine] = process
+        self._processes.append(process)
         process.start()
         self.note(f"executor {executor_id} starts on machine {machine}")
         return executor_id
@@ -351,7 +354,7 @@
 
     def close(self) -> None:
         """End all processes, and remove the folder."""
-        for process in (*self.executors.values(), *self.programs.values()):
+        for process in self._processes:
             process.kill()
         for event in self.read_events():
             self._record.write(f"executor event {json.dumps(event)}\n")
